--- /dev/null
+++ b/policy.go
@@ -0,0 +1,117 @@
+package ebonyworks
+
+import (
+	"context"
+	"time"
+)
+
+// Candidate is a server that could run an attempt, with what the host knows
+// about it.
+type Candidate struct {
+	Server Server
+	// Near is set if the server is in the host's own failure domain.
+	Near bool
+	// InFlight is the number of attempts of this host at the server.
+	InFlight int
+	// Limit is the number of attempts that this host allows itself there.
+	Limit int
+	// Latency is the host's own latency average, zero if it has none.
+	Latency time.Duration
+	// Share is the part of its normal traffic that the server may get, from
+	// above 0 to 1; a cold server starts low.
+	Share float64
+	// SlotsBusy and Queued are the server's own report and can mislead.
+	SlotsBusy int
+	Queued    int
+	// Failing is set while recent attempts failed. A failing server is used
+	// only if no other is left.
+	Failing bool
+}
+
+// Selection chooses among replicas.
+type Selection interface {
+	// Select returns the index of the chosen candidate, or false if there is none.
+	Select(candidates []Candidate) (int, bool)
+}
+
+// Hedging decides on second attempts, within budgets that hold for all
+// requests of the host together.
+type Hedging interface {
+	// Delay returns how long to wait for the first attempt before a hedge.
+	Delay(service ServiceID) time.Duration
+	// AllowHedge takes one hedge from the budget, or returns false.
+	AllowHedge(service ServiceID) bool
+	// AllowRetry takes one retry from the budget, or returns false.
+	AllowRetry(service ServiceID) bool
+	// Observe learns from an ended attempt.
+	Observe(record AttemptRecord)
+}
+
+// Quota bounds the attempts in flight at each server.
+type Quota interface {
+	// Acquire waits for a permit until the context ends. It returns false if
+	// the context ended first.
+	Acquire(ctx context.Context, service *Service, server ServerID) (Permit, bool)
+	// Load returns the attempts in flight at a server and its limit.
+	Load(service *Service, server ServerID) (inFlight, limit int)
+}
+
+// Permit is the right to one attempt.
+type Permit interface {
+	// Release returns the permit; the record adapts the limit. Only the first
+	// call counts.
+	Release(record AttemptRecord)
+}
+
+// Admission decides whether a request of a caller is taken on.
+type Admission interface {
+	// Admit returns an admittance, or a refusal with when to come back. It
+	// may queue the request for a part of its deadline.
+	Admit(ctx context.Context, route Route, house HouseID, deadline time.Time) (Admittance, *Refusal)
+}
+
+// Admittance is the right to run one request of a caller.
+type Admittance interface {
+	// Done ends the request. Only the first call counts.
+	Done()
+}
+
+// Verdict is what an inspection says of a request.
+type Verdict int
+
+const (
+	// RunAll means that the fingerprint is known to be safe.
+	RunAll Verdict = iota
+	// RunOne means that the request must first succeed on one server.
+	RunOne
+	// RunNone means that the request is refused.
+	RunNone
+)
+
+// ShardReplicas are the servers that could run one shard of a request.
+type ShardReplicas struct {
+	Shard ShardID
+	// All are all servers of the shard's service that the route allows.
+	All []Server
+	// Usable are those of them that are in use now.
+	Usable []Server
+}
+
+// Trial is the choice of the server for the single attempt of RunOne.
+type Trial struct {
+	Shard  ShardID
+	Server Server
+}
+
+// Inspection protects servers against requests that crash them.
+type Inspection interface {
+	// Inspect returns the verdict; the refusal is set for RunNone.
+	Inspect(fingerprint Fingerprint) (Verdict, *Refusal)
+	// Choose returns the server for the next single attempt, or a refusal if
+	// no attempt is allowed.
+	Choose(fingerprint Fingerprint, shards []ShardReplicas) (Trial, *Refusal)
+	// Died records that the server went away while it ran the request.
+	Died(fingerprint Fingerprint, server ServerID, incarnation Incarnation)
+	// Survived records that a server completed the request.
+	Survived(fingerprint Fingerprint)
+}
--- /dev/null
+++ b/reservation.go
@@ -0,0 +1,120 @@
+package ebonyworks
+
+import (
+	"context"
+	"time"
+)
+
+// Reservation is one non-idempotent request of a caller.
+type Reservation struct {
+	Request RequestID
+	// Ticket is the signed token that the caller was given.
+	Ticket string
+	Route  RouteID
+	House  HouseID
+	// Key is the item to reserve; it decides the shard.
+	Key    string
+	Fields []Field
+	// Deadline is the time by which the caller wants the outcome.
+	Deadline time.Time
+}
+
+// OutcomeKind tells what happened to a reservation. The zero value is
+// OutcomeUnknown, the kind that claims least.
+type OutcomeKind int
+
+const (
+	// OutcomeUnknown means that the reservation may or may not have run.
+	OutcomeUnknown OutcomeKind = iota
+	// OutcomeRan means that the reservation ran once.
+	OutcomeRan
+	// OutcomeNotRun means that the reservation didn't run and never will.
+	OutcomeNotRun
+)
+
+// OutcomeCode is a stable code that explains an outcome.
+type OutcomeCode string
+
+const (
+	// CodeDone explains OutcomeRan.
+	CodeDone OutcomeCode = "done"
+	// CodeRunning means that the reservation is still running.
+	CodeRunning OutcomeCode = "still_running"
+	// CodeLost means that the server went away while it may have run it.
+	CodeLost OutcomeCode = "server_lost"
+	// CodeTimeout means that the deadline passed while it may have run.
+	CodeTimeout OutcomeCode = "timeout"
+	// CodeInvalidReply means that the server's reply couldn't be understood.
+	CodeInvalidReply OutcomeCode = "invalid_reply"
+	// CodeOwnerUnreachable means that the host that issued the ticket can't be
+	// reached.
+	CodeOwnerUnreachable OutcomeCode = "owner_unreachable"
+	// CodeRecordDropped means that the record was kept for its time and dropped.
+	CodeRecordDropped OutcomeCode = "record_dropped"
+	// CodeTicketExpired means that the ticket expired before it was used.
+	CodeTicketExpired OutcomeCode = "ticket_expired"
+	// CodeSealed means that a query for the outcome sealed an unused ticket.
+	CodeSealed OutcomeCode = "sealed_by_query"
+	// CodeHostClosed means that the issuing host stopped before the ticket was used.
+	CodeHostClosed OutcomeCode = "host_closed"
+	// CodeRefused means that every server that was asked refused before starting.
+	CodeRefused OutcomeCode = "refused"
+	// CodeDeadline means that the deadline passed before anything was sent.
+	CodeDeadline OutcomeCode = "deadline_exceeded"
+	// CodeOverloaded means that admission refused the reservation.
+	CodeOverloaded OutcomeCode = "overloaded"
+	// CodeCrashSuspect means that the request is suspected of crashing servers.
+	CodeCrashSuspect OutcomeCode = "crash_suspect"
+	// CodeUnknownRoute means that no such reservation route is in force.
+	CodeUnknownRoute OutcomeCode = "unknown_route"
+)
+
+// Outcome is what a caller is told about a reservation.
+type Outcome struct {
+	Kind    OutcomeKind
+	Code    OutcomeCode
+	Message string
+	// Result holds the server's result if Kind is OutcomeRan.
+	Result []Field
+	// RetryAfter is when to ask or try again; zero means that it won't help.
+	RetryAfter time.Duration
+	// Refusal is set instead of all other fields when the request was not
+	// acceptable, for example because of a forged ticket.
+	Refusal *Refusal
+}
+
+// TicketClaims are the signed contents of a ticket.
+type TicketClaims struct {
+	ID          TicketID
+	Host        HostID
+	Incarnation Incarnation
+	Expiry      time.Time
+}
+
+// Reserver issues tickets and runs reservations at most once.
+type Reserver interface {
+	// IssueTicket returns a signed token for one reservation.
+	IssueTicket(ctx context.Context) (string, TicketClaims, *Refusal)
+	// Reserve runs the reservation or returns the outcome of its earlier copy.
+	Reserve(ctx context.Context, reservation Reservation) Outcome
+	// Outcome returns the outcome of the reservation with the ticket, and
+	// seals an unused ticket as not run.
+	Outcome(ctx context.Context, ticket string) Outcome
+}
+
+// LedgerRecord is the final outcome of one ticket.
+type LedgerRecord struct {
+	Ticket      TicketID
+	Fingerprint Fingerprint
+	Outcome     Outcome
+	// Expiry is when the ticket expires.
+	Expiry time.Time
+}
+
+// ClosedLedger is the complete ledger of an incarnation that has stopped. No
+// ticket of that incarnation runs after it was made.
+type ClosedLedger struct {
+	Host        HostID
+	Incarnation Incarnation
+	Records     []LedgerRecord
+}
