Add the connect-go client and server between hosts

A gate around the body tells whether the transport read any byte, and seals it, so NotDelivered is returned only if nothing was or can still be sent. Using httptrace was ruled out: its hooks can't prevent a later write.

Every call has time and size limits; the deadline travels with the request.

--- /dev/null
+++ b/transport/courier/client.go
@@ -0,0 +1,190 @@
+// Package courier carries messages between entry hosts with connect-go over
+// HTTP/2 without TLS.
+package courier
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/dispatch"
+	peerv1 "github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1"
+	"github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1/peerv1connect"
+)
+
+const (
+	dialTime = time.Second
+	// idleTime closes connections that carried nothing. With up to 100 peers,
+	// each is probed more often than that, so its connection stays open.
+	idleTime = 110 * time.Second
+	// pingAfter and pingTime detect connections whose other end is gone.
+	pingAfter = 5 * time.Second
+	pingTime  = 2 * time.Second
+	// maxClients bounds the cache of clients by address.
+	maxClients = 1024
+	// compressAbove is the size from which replies are compressed.
+	compressAbove = 4 << 10
+)
+
+// Dial opens a connection to a host.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends messages to other hosts. No message is ever sent twice. Use
+// NewClient.
+type Client struct {
+	transport *http.Transport
+	http      *http.Client
+	mu        sync.Mutex
+	// clients has at most maxClients entries.
+	clients map[netip.AddrPort]peerv1connect.PeerServiceClient
+}
+
+var _ ebonyworks.Peer = (*Client)(nil)
+
+// NewClient returns a client. A nil dial opens TCP connections.
+func NewClient(dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTime}).DialContext
+	}
+	transport := &http.Transport{
+		DialContext:     dial,
+		Protocols:       unencryptedHTTP2(),
+		IdleConnTimeout: idleTime,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime, WriteByteTimeout: pingAfter},
+	}
+	return &Client{
+		transport: transport,
+		http:      &http.Client{Transport: onceTransport{next: transport}, CheckRedirect: refuseRedirect},
+		clients:   make(map[netip.AddrPort]peerv1connect.PeerServiceClient),
+	}
+}
+
+// Close closes the idle connections. Calls in flight finish.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Exchange probes a host and swaps facts with it.
+func (c *Client) Exchange(ctx context.Context, to netip.AddrPort, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	reply, err := c.client(to).Exchange(ctx, &peerv1.ExchangeRequest{Facts: dispatch.EncodeExchange(message)})
+	if err != nil {
+		return ebonyworks.Exchange{}, errors.Wrapf(err, "exchange with %s", to)
+	}
+	return dispatch.DecodeExchange(reply.GetFacts())
+}
+
+// Relay asks the host at via to probe the target.
+func (c *Client) Relay(ctx context.Context, via, target netip.AddrPort) (bool, error) {
+	reply, err := c.client(via).Relay(ctx, &peerv1.RelayRequest{Target: dispatch.EncodeAddress(target)})
+	if err != nil {
+		return false, errors.Wrapf(err, "relay by %s", via)
+	}
+	return reply.GetAnswered(), nil
+}
+
+// FetchHead returns the bytes of the newest head that the host accepted.
+func (c *Client) FetchHead(ctx context.Context, from netip.AddrPort) ([]byte, error) {
+	reply, err := c.client(from).FetchHead(ctx, &peerv1.FetchHeadRequest{})
+	if err != nil {
+		return nil, errors.Wrapf(err, "fetch head from %s", from)
+	}
+	return reply.GetHead(), nil
+}
+
+// FetchPart returns the bytes of the part with the digest. The caller checks
+// the digest.
+func (c *Client) FetchPart(ctx context.Context, from netip.AddrPort, digest ebonyworks.Digest) ([]byte, error) {
+	reply, err := c.client(from).FetchPart(ctx, &peerv1.FetchPartRequest{Digest: digest[:]})
+	if err != nil {
+		return nil, errors.Wrapf(err, "fetch part from %s", from)
+	}
+	return reply.GetPart(), nil
+}
+
+// Reserve forwards a reservation to the host that issued its ticket.
+func (c *Client) Reserve(ctx context.Context, to ebonyworks.Host, reservation ebonyworks.Reservation) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	ctx, sent := withGate(ctx)
+	reply, err := c.client(to.Address).Reserve(ctx, dispatch.EncodeReservation(to, reservation, time.Now()))
+	return settle(reply.GetOutcome(), err, sent)
+}
+
+// Outcome forwards a query for an outcome to a host.
+func (c *Client) Outcome(ctx context.Context, to ebonyworks.Host, ticket string) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	ctx, sent := withGate(ctx)
+	reply, err := c.client(to.Address).Outcome(ctx, &peerv1.OutcomeRequest{To: dispatch.EncodeHost(to), Ticket: ticket})
+	return settle(reply.GetOutcome(), err, sent)
+}
+
+// HandOver gives a closed ledger to a host.
+func (c *Client) HandOver(ctx context.Context, to ebonyworks.Host, ledger ebonyworks.ClosedLedger) error {
+	_, err := c.client(to.Address).HandOver(ctx, dispatch.EncodeLedger(ledger, time.Now()))
+	if err != nil {
+		return errors.Wrapf(err, "hand over to %s", to.ID)
+	}
+	return nil
+}
+
+// Report sends crash reports to a host.
+func (c *Client) Report(ctx context.Context, to netip.AddrPort, reports []ebonyworks.CrashReport) error {
+	_, err := c.client(to).Report(ctx, &peerv1.ReportRequest{Crashes: dispatch.EncodeCrashes(reports)})
+	if err != nil {
+		return errors.Wrapf(err, "report to %s", to)
+	}
+	return nil
+}
+
+func (c *Client) client(address netip.AddrPort) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if client, found := c.clients[address]; found {
+		return client
+	}
+	if len(c.clients) >= maxClients {
+		clear(c.clients)
+	}
+	client := peerv1connect.NewPeerServiceClient(c.http, "http://"+address.String(),
+		connect.WithReadMaxBytes(maxDocumentBytes),
+		connect.WithSendMaxBytes(maxLedgerBytes),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(boundCall)),
+	)
+	c.clients[address] = client
+	return client
+}
+
+// settle turns the end of a call that must not run twice into an outcome.
+func settle(wire *peerv1.ReservationOutcome, err error, sent *gate) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	if err != nil {
+		if sent.seal() {
+			return ebonyworks.Outcome{}, ebonyworks.NotDelivered
+		}
+		return ebonyworks.Outcome{}, ebonyworks.DeliveryUnknown
+	}
+	outcome, err := dispatch.DecodeOutcome(wire)
+	if err != nil {
+		return ebonyworks.Outcome{}, ebonyworks.DeliveryUnknown
+	}
+	return outcome, ebonyworks.Delivered
+}
+
+// boundCall limits the time of a call, on both sides. The deadline travels to
+// the server with the request.
+func boundCall(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, limitOf(request.Spec().Procedure).time)
+		defer cancel()
+		return next(ctx, request)
+	}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func unencryptedHTTP2() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
--- /dev/null
+++ b/transport/courier/courier_test.go
@@ -0,0 +1,312 @@
+package courier_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/transport/courier"
+)
+
+// recordingHandler counts the reservations that it ran.
+type recordingHandler struct {
+	runs     atomic.Int32
+	during   func()
+	deadline atomic.Int64
+	document []byte
+}
+
+func (h *recordingHandler) HandleExchange(ctx context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	if end, found := ctx.Deadline(); found {
+		h.deadline.Store(int64(time.Until(end)))
+	}
+	return ebonyworks.Exchange{From: ebonyworks.Host{ID: "reply"}, Mark: message.Mark, Members: message.Members}, nil
+}
+
+func (h *recordingHandler) HandleRelay(context.Context, netip.AddrPort) (bool, error) {
+	return true, nil
+}
+
+func (h *recordingHandler) HandleFetchHead(context.Context) ([]byte, error) {
+	return nil, errors.New("nothing accepted")
+}
+
+func (h *recordingHandler) HandleFetchPart(context.Context, ebonyworks.Digest) ([]byte, error) {
+	return h.document, nil
+}
+
+func (h *recordingHandler) HandleReserve(_ context.Context, to ebonyworks.Host, _ ebonyworks.Reservation) ebonyworks.Outcome {
+	h.runs.Add(1)
+	if h.during != nil {
+		h.during()
+	}
+	return ebonyworks.Outcome{Kind: ebonyworks.OutcomeRan, Message: string(to.ID)}
+}
+
+func (h *recordingHandler) HandleOutcome(context.Context, ebonyworks.Host, string) ebonyworks.Outcome {
+	return ebonyworks.Outcome{Kind: ebonyworks.OutcomeNotRun}
+}
+
+func (h *recordingHandler) HandleHandOver(context.Context, ebonyworks.ClosedLedger) error {
+	return nil
+}
+
+func (h *recordingHandler) HandleReport(context.Context, []ebonyworks.CrashReport) error {
+	return errors.New("refused")
+}
+
+// cuttingListener closes each connection once limit bytes were read from it.
+type cuttingListener struct {
+	net.Listener
+	limit    int
+	accepted atomic.Int32
+	mu       sync.Mutex
+	open     []net.Conn
+}
+
+func (l *cuttingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open = append(l.open, conn)
+	if l.limit == 0 {
+		return conn, conn.Close()
+	}
+	return &cutConn{Conn: conn, left: l.limit}, nil
+}
+
+func (l *cuttingListener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.open {
+		_ = conn.Close()
+	}
+}
+
+type cutConn struct {
+	net.Conn
+	left int
+}
+
+func (c *cutConn) Read(buffer []byte) (int, error) {
+	if c.left <= 0 {
+		_ = c.Close()
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.left)])
+	c.left -= n
+	return n, err
+}
+
+func start(t *testing.T, handler ebonyworks.PeerHandler, limit int) (*cuttingListener, ebonyworks.Host) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := &cuttingListener{Listener: inner, limit: limit}
+	server := courier.NewServer(handler)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		require.NoError(t, server.Close())
+		require.NoError(t, <-done)
+	})
+	address := netip.MustParseAddrPort(inner.Addr().String())
+	return listener, ebonyworks.Host{ID: "owner", Incarnation: 1, Address: address}
+}
+
+func client(t *testing.T) *courier.Client {
+	t.Helper()
+	c := courier.NewClient(nil)
+	t.Cleanup(c.Close)
+	return c
+}
+
+const uncut = 1 << 30
+
+// Guards against a reservation that runs twice, or that is called not
+// delivered although it ran, when the connection ends at any byte.
+func TestReserveIsSentAtMostOnce(t *testing.T) {
+	reservation := ebonyworks.Reservation{
+		Ticket: "ticket", Deadline: time.Now().Add(time.Minute),
+		Fields: []ebonyworks.Field{{Name: "note", Value: strings.Repeat("x", 40<<10)}},
+	}
+	limits := []int{0, 1, 24, 30, 60, 90, 120, 150, 200, 250, 300, 400, 500, 1000, 16 << 10, 17 << 10, 33 << 10, 40 << 10, 41 << 10, 42 << 10, uncut}
+	var delivered, undelivered int
+	for _, limit := range limits {
+		handler := &recordingHandler{}
+		_, host := start(t, handler, limit)
+		outcome, delivery := client(t).Reserve(t.Context(), host, reservation)
+		assert.LessOrEqual(t, handler.runs.Load(), int32(1), "cut after %d bytes", limit)
+		switch delivery {
+		case ebonyworks.Delivered:
+			delivered++
+			assert.Equal(t, "owner", outcome.Message)
+		case ebonyworks.NotDelivered:
+			undelivered++
+			assert.Zero(t, handler.runs.Load(), "cut after %d bytes", limit)
+		default:
+			assert.Equal(t, ebonyworks.Outcome{}, outcome)
+		}
+	}
+	assert.Positive(t, delivered)
+	assert.Less(t, undelivered, len(limits)-1)
+}
+
+// Guards against NotDelivered for a request that ran but whose reply was lost.
+func TestReserveLostReply(t *testing.T) {
+	handler := &recordingHandler{}
+	listener, host := start(t, handler, uncut)
+	handler.during = listener.closeAll
+	_, delivery := client(t).Reserve(t.Context(), host, ebonyworks.Reservation{Ticket: "t"})
+	assert.Equal(t, ebonyworks.DeliveryUnknown, delivery)
+	assert.Equal(t, int32(1), handler.runs.Load())
+	assert.Equal(t, int32(1), listener.accepted.Load())
+}
+
+// Guards against Unknown where nothing can have been sent: callers would be
+// told that a reservation may have run.
+func TestReserveNotDelivered(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	host := ebonyworks.Host{ID: "owner", Address: netip.MustParseAddrPort(inner.Addr().String())}
+	require.NoError(t, inner.Close())
+	_, delivery := client(t).Reserve(t.Context(), host, ebonyworks.Reservation{Ticket: "t"})
+	assert.Equal(t, ebonyworks.NotDelivered, delivery)
+	_, delivery = client(t).Outcome(t.Context(), host, "t")
+	assert.Equal(t, ebonyworks.NotDelivered, delivery)
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	handler := &recordingHandler{}
+	_, host = start(t, handler, uncut)
+	_, delivery = client(t).Reserve(ended, host, ebonyworks.Reservation{Ticket: "t"})
+	assert.Equal(t, ebonyworks.NotDelivered, delivery)
+	assert.Zero(t, handler.runs.Load())
+}
+
+// refusing is an HTTP/2 server that reads each request in full and refuses
+// the stream as unprocessed, which invites clients to resend.
+type refusing struct {
+	listener net.Listener
+	bodies   atomic.Int32
+	goAway   bool
+}
+
+func (r *refusing) serve() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.refuse(conn)
+	}
+}
+
+func (r *refusing) refuse(conn net.Conn) {
+	defer conn.Close()
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(conn, preface); err != nil {
+		return
+	}
+	framer := http2.NewFramer(conn, conn)
+	if framer.WriteSettings() != nil {
+		return
+	}
+	for {
+		frame, err := framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		data, isData := frame.(*http2.DataFrame)
+		if !isData || !data.StreamEnded() {
+			continue
+		}
+		r.bodies.Add(1)
+		if r.goAway {
+			_ = framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+			continue
+		}
+		_ = framer.WriteRSTStream(data.StreamID, http2.ErrCodeRefusedStream)
+	}
+}
+
+// Guards against net/http resending a body after the server declared the
+// stream unprocessed. If GetBody is kept, these cases send it 4 times and
+// thousands of times within 5 s.
+func TestRefusedStreamsAreNotResent(t *testing.T) {
+	for name, goAway := range map[string]bool{"refused stream": false, "go away": true} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := &refusing{listener: listener, goAway: goAway}
+			go server.serve()
+			t.Cleanup(func() { _ = listener.Close() })
+			host := ebonyworks.Host{ID: "owner", Address: netip.MustParseAddrPort(listener.Addr().String())}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, delivery := client(t).Reserve(ctx, host, ebonyworks.Reservation{Ticket: "t"})
+			assert.Equal(t, ebonyworks.DeliveryUnknown, delivery)
+			assert.Equal(t, int32(1), server.bodies.Load())
+		})
+	}
+}
+
+// Guards against lost fields, unbounded messages and calls without a deadline
+// on the way through both sides.
+func TestCalls(t *testing.T) {
+	handler := &recordingHandler{document: make([]byte, 1<<20)}
+	_, host := start(t, handler, uncut)
+	c := client(t)
+	message := ebonyworks.Exchange{From: host, Mark: ebonyworks.Mark{Revision: 3}, Members: []ebonyworks.Member{{Host: host}}}
+	reply, err := c.Exchange(t.Context(), host.Address, message)
+	require.NoError(t, err)
+	assert.Equal(t, message.Members, reply.Members)
+	assert.Equal(t, message.Mark, reply.Mark)
+	assert.LessOrEqual(t, time.Duration(handler.deadline.Load()), 2*time.Second)
+
+	short, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = c.Exchange(short, host.Address, message)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, time.Duration(handler.deadline.Load()), time.Second)
+
+	answered, err := c.Relay(t.Context(), host.Address, host.Address)
+	require.NoError(t, err)
+	assert.True(t, answered)
+	_, err = c.FetchHead(t.Context(), host.Address)
+	require.ErrorContains(t, err, "nothing accepted")
+	part, err := c.FetchPart(t.Context(), host.Address, ebonyworks.Digest{})
+	require.NoError(t, err)
+	assert.Len(t, part, 1<<20)
+	outcome, delivery := c.Outcome(t.Context(), host, "t")
+	assert.Equal(t, ebonyworks.Delivered, delivery)
+	assert.Equal(t, ebonyworks.OutcomeNotRun, outcome.Kind)
+	require.NoError(t, c.HandOver(t.Context(), host, ebonyworks.ClosedLedger{Host: "h"}))
+	require.ErrorContains(t, c.Report(t.Context(), host.Address, nil), "refused")
+
+	message.Members = make([]ebonyworks.Member, 10_000)
+	for i := range message.Members {
+		message.Members[i].Host = host
+	}
+	_, err = c.Exchange(t.Context(), host.Address, message)
+	require.ErrorContains(t, err, "larger than")
+	handler.document = make([]byte, 2<<20)
+	_, err = c.FetchPart(t.Context(), host.Address, ebonyworks.Digest{})
+	require.Error(t, err)
+}
--- /dev/null
+++ b/transport/courier/server.go
@@ -0,0 +1,175 @@
+package courier
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/dispatch"
+	peerv1 "github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1"
+	"github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1/peerv1connect"
+)
+
+const (
+	headerTime     = 2 * time.Second
+	bodyTime       = 10 * time.Second
+	maxHeaderBytes = 16 << 10
+	// maxStreams bounds the concurrent calls of one peer.
+	maxStreams = 256
+)
+
+// Server serves a PeerHandler to other hosts. Use NewServer.
+type Server struct {
+	http *http.Server
+}
+
+// NewServer returns a server for the handler.
+func NewServer(handler ebonyworks.PeerHandler) *Server {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(service{handler: handler},
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(boundCall)),
+		connect.WithCompressMinBytes(compressAbove),
+		connect.WithConditionalHandlerOptions(sizeLimits),
+	))
+	return &Server{http: &http.Server{
+		Handler:           mux,
+		Protocols:         unencryptedHTTP2(),
+		ReadHeaderTimeout: headerTime,
+		ReadTimeout:       bodyTime,
+		WriteTimeout:      reservationTime + bodyTime,
+		IdleTimeout:       idleTime + bodyTime,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTime, PingTimeout: pingTime},
+	}}
+}
+
+// Serve accepts connections until Shutdown or Close, and then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve peers")
+	}
+	return nil
+}
+
+// Shutdown stops accepting and waits for calls in flight until the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "shut down peer server")
+	}
+	return nil
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
+func sizeLimits(spec connect.Spec) []connect.HandlerOption {
+	bound := limitOf(spec.Procedure)
+	return []connect.HandlerOption{
+		connect.WithReadMaxBytes(bound.requestBytes),
+		connect.WithSendMaxBytes(bound.responseBytes),
+	}
+}
+
+// service maps the wire types for a PeerHandler.
+type service struct {
+	handler ebonyworks.PeerHandler
+}
+
+// Exchange answers a probe.
+func (s service) Exchange(ctx context.Context, request *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	message, err := dispatch.DecodeExchange(request.GetFacts())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	reply, err := s.handler.HandleExchange(ctx, message)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerv1.ExchangeResponse{Facts: dispatch.EncodeExchange(reply)}, nil
+}
+
+// Relay probes a third host.
+func (s service) Relay(ctx context.Context, request *peerv1.RelayRequest) (*peerv1.RelayResponse, error) {
+	target, err := dispatch.DecodeAddress(request.GetTarget())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	answered, err := s.handler.HandleRelay(ctx, target)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerv1.RelayResponse{Answered: answered}, nil
+}
+
+// FetchHead returns the head in force.
+func (s service) FetchHead(ctx context.Context, _ *peerv1.FetchHeadRequest) (*peerv1.FetchHeadResponse, error) {
+	head, err := s.handler.HandleFetchHead(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
+	return &peerv1.FetchHeadResponse{Head: head}, nil
+}
+
+// FetchPart returns a part in force.
+func (s service) FetchPart(ctx context.Context, request *peerv1.FetchPartRequest) (*peerv1.FetchPartResponse, error) {
+	digest, err := dispatch.DecodeDigest(request.GetDigest())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	part, err := s.handler.HandleFetchPart(ctx, digest)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
+	return &peerv1.FetchPartResponse{Part: part}, nil
+}
+
+// Reserve runs a forwarded reservation.
+func (s service) Reserve(ctx context.Context, request *peerv1.ReserveRequest) (*peerv1.ReserveResponse, error) {
+	to, reservation, err := dispatch.DecodeReservation(request, time.Now())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	outcome := s.handler.HandleReserve(ctx, to, reservation)
+	return &peerv1.ReserveResponse{Outcome: dispatch.EncodeOutcome(outcome)}, nil
+}
+
+// Outcome answers a forwarded query.
+func (s service) Outcome(ctx context.Context, request *peerv1.OutcomeRequest) (*peerv1.OutcomeResponse, error) {
+	to, err := dispatch.DecodeHost(request.GetTo())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	outcome := s.handler.HandleOutcome(ctx, to, request.GetTicket())
+	return &peerv1.OutcomeResponse{Outcome: dispatch.EncodeOutcome(outcome)}, nil
+}
+
+// HandOver takes over a closed ledger.
+func (s service) HandOver(ctx context.Context, request *peerv1.HandOverRequest) (*peerv1.HandOverResponse, error) {
+	ledger, err := dispatch.DecodeLedger(request, time.Now())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if err := s.handler.HandleHandOver(ctx, ledger); err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerv1.HandOverResponse{}, nil
+}
+
+// Report takes crash reports.
+func (s service) Report(ctx context.Context, request *peerv1.ReportRequest) (*peerv1.ReportResponse, error) {
+	reports, err := dispatch.DecodeCrashes(request.GetCrashes())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if err := s.handler.HandleReport(ctx, reports); err != nil {
+		return nil, unavailable(err)
+	}
+	return &peerv1.ReportResponse{}, nil
+}
+
+func unavailable(err error) error { return connect.NewError(connect.CodeUnavailable, err) }
