Add the state of configuration and of membership

Exchange gains Settled, Confirmed with its age, and Full: a fresh host must know whether a peer's mark was itself checked, hosts that don't read the service need to know how old the last reading by any host is, and a host that starts or resumes asks for everything at once.

--- a/peer.go
+++ b/peer.go
@@ -41,13 +41,24 @@
 }
 
 // Departure is a fact about a backend server. Leaving never returns to false
-// within one incarnation of the server.
+// within one incarnation of the server. Incarnation zero stands for a fact
+// without an incarnation, from the platform's list or a refused connection;
+// such a fact expires.
 type Departure struct {
 	Server      ServerID
 	Incarnation Incarnation
 	Leaving     bool
 }
 
+// Readiness tells whether a component allows the host to take requests.
+type Readiness struct {
+	// Reasons are why the host isn't ready; empty means that it is.
+	Reasons []string
+}
+
+// Ready reports whether nothing stands against taking requests.
+func (r Readiness) Ready() bool { return len(r.Reasons) == 0 }
+
 // CrashReport tells that a server went away while it ran a request.
 type CrashReport struct {
 	Fingerprint Fingerprint
@@ -63,8 +74,18 @@
 
 // Exchange is the message that hosts exchange with every probe.
 type Exchange struct {
-	From       Host
-	Mark       Mark
+	From Host
+	// Mark is the configuration that the sender has in force.
+	Mark Mark
+	// Settled is set if the sender has checked, since it started or was last
+	// paused, that no newer configuration than Mark could be found.
+	Settled bool
+	// Confirmed is set if the configuration service was read ConfirmedAge ago,
+	// by the sender or another host, and showed nothing newer than Mark.
+	Confirmed    bool
+	ConfirmedAge time.Duration
+	// Full asks the receiver for all that it knows, not only recent facts.
+	Full       bool
 	Members    []Member
 	Departures []Departure
 	Crashes    []CrashReport
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/ebonyworks/ebonyworks"
 	peerv1 "github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1"
@@ -35,6 +36,12 @@
 		From:    EncodeHost(message.From),
 		Mark:    encodeMark(message.Mark),
 		Crashes: EncodeCrashes(message.Crashes),
+		Settled: message.Settled,
+		Full:    message.Full,
+	}
+	if message.Confirmed {
+		// Rounded up, so that no confirmation seems newer than it is.
+		facts.ConfirmedAgeMilliseconds = proto.Uint64(milliseconds(message.ConfirmedAge + time.Millisecond - 1))
 	}
 	for _, member := range message.Members {
 		facts.Members = append(facts.Members, encodeMember(member))
@@ -47,7 +54,12 @@
 
 // DecodeExchange returns the exchange, or an error if any fact is malformed.
 func DecodeExchange(facts *peerv1.Facts) (ebonyworks.Exchange, error) {
-	var message ebonyworks.Exchange
+	message := ebonyworks.Exchange{
+		Settled:      facts.GetSettled(),
+		Confirmed:    facts != nil && facts.ConfirmedAgeMilliseconds != nil,
+		ConfirmedAge: duration(facts.GetConfirmedAgeMilliseconds()),
+		Full:         facts.GetFull(),
+	}
 	var err error
 	if message.From, err = DecodeHost(facts.GetFrom()); err != nil {
 		return ebonyworks.Exchange{}, errors.Wrap(err, "sender")
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -50,8 +50,9 @@
 // Guards against fields that are lost or mixed up between types.
 func TestExchangeRoundTrip(t *testing.T) {
 	message := ebonyworks.Exchange{
-		From: host,
-		Mark: ebonyworks.Mark{Revision: 7, Digest: ebonyworks.Digest{1, 2, 3}},
+		From:    host,
+		Mark:    ebonyworks.Mark{Revision: 7, Digest: ebonyworks.Digest{1, 2, 3}},
+		Settled: true, Confirmed: true, ConfirmedAge: 1500 * time.Millisecond, Full: true,
 		Members: []ebonyworks.Member{
 			{Host: host, Round: 3, State: ebonyworks.MemberAlive},
 			{Host: ebonyworks.Host{ID: "entry-2"}, State: ebonyworks.MemberSuspect},
--- /dev/null
+++ b/state/edition/edition.go
@@ -0,0 +1,160 @@
+// Package edition holds the configuration in force and its order.
+package edition
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// maxRefusals bounds the history of refused configurations.
+const maxRefusals = 32
+
+// Bundle is a validated configuration with the bytes that were published.
+type Bundle struct {
+	// Configuration is not nil and not modified any more.
+	Configuration *ebonyworks.Configuration
+	// Base is the configuration that the operator edited.
+	Base ebonyworks.Mark
+	Head []byte
+	// Parts are in the order of the head.
+	Parts []StoredPart
+}
+
+// StoredPart is the bytes of a part with their digest.
+type StoredPart struct {
+	Digest ebonyworks.Digest
+	Bytes  []byte
+}
+
+// Refusal tells why a configuration isn't in force.
+type Refusal struct {
+	// Mark has revision zero if the head couldn't be decoded.
+	Mark     ebonyworks.Mark
+	Problems []ebonyworks.Problem
+	At       time.Time
+}
+
+// Edition is the configuration in force. Its mark never decreases. The zero
+// value holds no configuration. Methods can be called concurrently.
+type Edition struct {
+	mu      sync.RWMutex
+	current Bundle
+	// refusals has at most maxRefusals entries, oldest first, with unique digests.
+	refusals []Refusal
+}
+
+// Current returns the configuration in force, or nil if there is none.
+func (e *Edition) Current() *ebonyworks.Configuration {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.current.Configuration
+}
+
+// Mark returns the mark of the configuration in force.
+func (e *Edition) Mark() ebonyworks.Mark {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.mark()
+}
+
+// Head returns the published bytes of the head in force.
+func (e *Edition) Head() ([]byte, bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.current.Head, e.current.Configuration != nil
+}
+
+// Part returns the published bytes of a part in force.
+func (e *Edition) Part(digest ebonyworks.Digest) ([]byte, bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, part := range e.current.Parts {
+		if part.Digest == digest {
+			return part.Bytes, true
+		}
+	}
+	return nil, false
+}
+
+// Accept puts the bundle in force if it is newer than what is in force, and
+// reports whether it did. An accepted sibling of the same revision that it
+// replaces is recorded as refused.
+func (e *Edition) Accept(bundle Bundle, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before, mark := e.mark(), bundle.Configuration.Mark
+	if mark.Compare(before) <= 0 {
+		return false
+	}
+	e.current = bundle
+	if before.Revision == mark.Revision {
+		e.refuse(Refusal{Mark: before, Problems: sibling(mark), At: now})
+	}
+	return true
+}
+
+// Refuse records why a configuration isn't accepted. It reports whether this
+// is the first refusal of the digest in the history.
+func (e *Edition) Refuse(mark ebonyworks.Mark, problems []ebonyworks.Problem, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refuse(Refusal{Mark: mark, Problems: slices.Clone(problems), At: now})
+}
+
+// RefuseSibling records that a configuration lost against the one in force of
+// the same revision.
+func (e *Edition) RefuseSibling(mark ebonyworks.Mark, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refuse(Refusal{Mark: mark, Problems: sibling(e.mark()), At: now})
+}
+
+// Refused returns the refusal of a head by its digest.
+func (e *Edition) Refused(digest ebonyworks.Digest) (Refusal, bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for _, refusal := range e.refusals {
+		if refusal.Mark.Digest == digest {
+			return refusal, true
+		}
+	}
+	return Refusal{}, false
+}
+
+// Refusals returns the latest refusals, oldest first.
+func (e *Edition) Refusals() []Refusal {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return slices.Clone(e.refusals)
+}
+
+func (e *Edition) mark() ebonyworks.Mark {
+	if e.current.Configuration == nil {
+		return ebonyworks.Mark{}
+	}
+	return e.current.Configuration.Mark
+}
+
+func (e *Edition) refuse(refusal Refusal) bool {
+	for _, known := range e.refusals {
+		if known.Mark.Digest == refusal.Mark.Digest {
+			return false
+		}
+	}
+	if len(e.refusals) == maxRefusals {
+		e.refusals = slices.Delete(e.refusals, 0, 1)
+	}
+	e.refusals = append(e.refusals, refusal)
+	return true
+}
+
+func sibling(winner ebonyworks.Mark) []ebonyworks.Problem {
+	return []ebonyworks.Problem{{
+		Place:   "Revision",
+		Message: "another head of revision " + strconv.FormatUint(uint64(winner.Revision), 10) + " has a larger digest; publish again from it",
+	}}
+}
--- /dev/null
+++ b/state/roster/roster.go
@@ -0,0 +1,283 @@
+// Package roster holds the known entry hosts and their states.
+package roster
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	// maxMembers bounds the roster; the design size is 400.
+	maxMembers = 4096
+	// keepDead is longer than the longest expected partition (an hour), so
+	// that both sides still know each other when it heals.
+	keepDead = 6 * time.Hour
+	// keepLeft is longer than any message about the member can be in flight.
+	keepLeft = time.Hour
+	// memberOverhead is the encoded size of a fact without its names.
+	memberOverhead = 52
+)
+
+// Change tells what a fact did to the roster.
+type Change struct {
+	// Applied is set if the fact replaced what was known.
+	Applied bool
+	// New is set if the host or its incarnation was unknown.
+	New bool
+	// Refuted is set if the fact was about this host and wrong.
+	Refuted bool
+	// Replaced is set if the fact tells of a later incarnation of this host.
+	Replaced bool
+	// Before is the state before, meaningful if New isn't set.
+	Before ebonyworks.MemberState
+}
+
+// entry is a member with its bookkeeping.
+type entry struct {
+	member ebonyworks.Member
+	// since is when the state was last changed.
+	since time.Time
+	// sent counts the messages that carried the fact.
+	sent int
+}
+
+// Roster holds the members that a host knows, itself included. Facts only
+// move forward in their order. Methods can be called concurrently.
+type Roster struct {
+	mu   sync.Mutex
+	self entry
+	// members has at most maxMembers entries, without this host.
+	members  map[ebonyworks.HostID]*entry
+	replaced bool
+}
+
+// New returns a roster that knows only the host itself.
+func New(self ebonyworks.Host) *Roster {
+	return &Roster{
+		self:    entry{member: ebonyworks.Member{Host: self}},
+		members: make(map[ebonyworks.HostID]*entry),
+	}
+}
+
+// Self returns the fact about this host.
+func (r *Roster) Self() ebonyworks.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self.member
+}
+
+// Replaced reports whether a later incarnation of this host is known.
+func (r *Roster) Replaced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replaced
+}
+
+// Leave marks this host as stopping, in a way that no earlier fact overrides.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.self.member.State == ebonyworks.MemberLeft {
+		return
+	}
+	r.self.member.Round++
+	r.self.member.State = ebonyworks.MemberLeft
+	r.self.sent = 0
+}
+
+// Merge learns a fact.
+func (r *Roster) Merge(fact ebonyworks.Member, now time.Time) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if fact.Host.ID == r.self.member.Host.ID {
+		return r.mergeSelf(fact)
+	}
+	known, found := r.members[fact.Host.ID]
+	if !found {
+		if len(r.members) >= maxMembers && !r.evict() {
+			return Change{}
+		}
+		r.members[fact.Host.ID] = &entry{member: fact, since: now}
+		return Change{Applied: true, New: true}
+	}
+	change := Change{Before: known.member.State, New: fact.Host.Incarnation > known.member.Host.Incarnation}
+	if order(fact, known.member) <= 0 {
+		return Change{Before: change.Before}
+	}
+	change.Applied = true
+	if fact.State != known.member.State || change.New {
+		known.since = now
+	}
+	known.member, known.sent = fact, 0
+	return change
+}
+
+// Suspect lowers an alive member to suspect, if it is still the given one.
+func (r *Roster) Suspect(host ebonyworks.Host, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.members[host.ID]
+	if !found || known.member.Host.Incarnation != host.Incarnation || known.member.State != ebonyworks.MemberAlive {
+		return false
+	}
+	known.member.State = ebonyworks.MemberSuspect
+	known.since, known.sent = now, 0
+	return true
+}
+
+// Expire declares members dead that have been suspected for the timeout, and
+// forgets members that have been gone for hours. It returns the new dead.
+func (r *Roster) Expire(timeout time.Duration, now time.Time) []ebonyworks.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var dead []ebonyworks.Member
+	for id, known := range r.members {
+		age := now.Sub(known.since)
+		switch {
+		case known.member.State == ebonyworks.MemberSuspect && age >= timeout:
+			known.member.State = ebonyworks.MemberDead
+			known.since, known.sent = now, 0
+			dead = append(dead, known.member)
+		case known.member.State == ebonyworks.MemberDead && age >= keepDead,
+			known.member.State == ebonyworks.MemberLeft && age >= keepLeft:
+			delete(r.members, id)
+		}
+	}
+	return dead
+}
+
+// Renew restarts the time of all suspicions. A host that was paused doesn't
+// know whether the members were silent or itself.
+func (r *Roster) Renew(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.members {
+		if known.member.State == ebonyworks.MemberSuspect {
+			known.since = now
+		}
+	}
+}
+
+// Member returns what is known about a host.
+func (r *Roster) Member(id ebonyworks.HostID) (ebonyworks.Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.members[id]
+	if !found {
+		return ebonyworks.Member{}, false
+	}
+	return known.member, true
+}
+
+// Members returns all members but this host, ordered by id.
+func (r *Roster) Members() []ebonyworks.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	members := make([]ebonyworks.Member, 0, len(r.members))
+	for _, known := range r.members {
+		members = append(members, known.member)
+	}
+	slices.SortFunc(members, func(a, b ebonyworks.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	return members
+}
+
+// Alive returns the members that are alive or only suspected, without this
+// host, ordered by id.
+func (r *Roster) Alive() []ebonyworks.Host {
+	var alive []ebonyworks.Host
+	for _, member := range r.Members() {
+		if member.State <= ebonyworks.MemberSuspect {
+			alive = append(alive, member.Host)
+		}
+	}
+	return alive
+}
+
+// Facts returns the facts for one message: those sent in fewer than limit
+// messages, fewest first, then random others, until the budget in bytes is
+// used. The fact about this host isn't included.
+func (r *Roster) Facts(budget, limit, others int, random *rand.Rand) []ebonyworks.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fresh, settled := r.split(limit)
+	random.Shuffle(len(settled), func(i, j int) { settled[i], settled[j] = settled[j], settled[i] })
+	chosen := append(fresh, settled[:min(others, len(settled))]...)
+	var facts []ebonyworks.Member
+	for _, known := range chosen {
+		budget -= Size(known.member)
+		if budget < 0 {
+			break
+		}
+		known.sent++
+		facts = append(facts, known.member)
+	}
+	return facts
+}
+
+// Size bounds the encoded size of a fact in bytes.
+func Size(member ebonyworks.Member) int {
+	return memberOverhead + len(member.Host.ID) + len(member.Host.Domain) + len(member.Host.Region)
+}
+
+// split returns the facts that were sent in fewer than limit messages, fewest
+// first, and the others, both in a reproducible order.
+func (r *Roster) split(limit int) (fresh, settled []*entry) {
+	for _, known := range r.members {
+		if known.sent < limit {
+			fresh = append(fresh, known)
+			continue
+		}
+		settled = append(settled, known)
+	}
+	byID := func(a, b *entry) int { return cmp.Compare(a.member.Host.ID, b.member.Host.ID) }
+	slices.SortFunc(settled, byID)
+	slices.SortFunc(fresh, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), byID(a, b))
+	})
+	return fresh, settled
+}
+
+func (r *Roster) mergeSelf(fact ebonyworks.Member) Change {
+	self := &r.self.member
+	if fact.Host.Incarnation > self.Host.Incarnation {
+		r.replaced = true
+		return Change{Replaced: true}
+	}
+	if order(fact, *self) <= 0 {
+		return Change{}
+	}
+	// Nobody else may know more about this incarnation than the host itself.
+	self.Round = fact.Round + 1
+	r.self.sent = 0
+	return Change{Refuted: true}
+}
+
+// evict drops the member that has been gone for longest.
+func (r *Roster) evict() bool {
+	var oldest *entry
+	for _, known := range r.members {
+		gone := known.member.State >= ebonyworks.MemberDead
+		if gone && (oldest == nil || known.since.Before(oldest.since)) {
+			oldest = known
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(r.members, oldest.member.Host.ID)
+	return true
+}
+
+// order compares two facts about the same host.
+func order(a, b ebonyworks.Member) int {
+	return cmp.Or(
+		cmp.Compare(a.Host.Incarnation, b.Host.Incarnation),
+		cmp.Compare(a.Round, b.Round),
+		cmp.Compare(a.State, b.State),
+	)
+}
