--- /dev/null
+++ b/coordination/bulletin/fleet_test.go
@@ -0,0 +1,515 @@
+package bulletin_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/bulletin"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+	"github.com/ebonyworks/ebonyworks/coordination/guild"
+	"github.com/ebonyworks/ebonyworks/state/edition"
+)
+
+const headKey ebonyworks.Key = "head"
+
+var errFault = errors.New("injected fault")
+
+func partKey(name string) ebonyworks.Key { return ebonyworks.Key("part/" + name) }
+
+// documents is a small ebonyworks.Documents: heads are JSON, and a part that
+// contains "invalid" makes the whole configuration invalid.
+type documents struct{}
+
+func (documents) Head(bytes []byte) (ebonyworks.Head, []ebonyworks.Problem) {
+	var head ebonyworks.Head
+	if err := json.Unmarshal(bytes, &head); err != nil {
+		return ebonyworks.Head{}, []ebonyworks.Problem{{Place: "Head", Message: err.Error()}}
+	}
+	return head, nil
+}
+
+func (documents) Assemble(mark ebonyworks.Mark, _ ebonyworks.Head, parts []ebonyworks.Part) (*ebonyworks.Configuration, []ebonyworks.Problem) {
+	for _, part := range parts {
+		if strings.Contains(string(part.Bytes), "invalid") {
+			return nil, []ebonyworks.Problem{{Place: part.Name, Message: "invalid"}}
+		}
+	}
+	return &ebonyworks.Configuration{Mark: mark}, nil
+}
+
+// publication returns a head with one part, and their mark.
+func publication(revision ebonyworks.Revision, content string) (head, part []byte, mark ebonyworks.Mark) {
+	part = []byte(content)
+	head, err := json.Marshal(ebonyworks.Head{
+		Revision: revision,
+		Parts:    []ebonyworks.PartDigest{{Name: "routes", Digest: sha256.Sum256(part)}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return head, part, ebonyworks.Mark{Revision: revision, Digest: sha256.Sum256(head)}
+}
+
+// node is one host of a fleet, through all of its lives.
+type node struct {
+	fleet    *fleet
+	host     ebonyworks.Host
+	edition  *edition.Edition
+	guild    *guild.Guild
+	bulletin *bulletin.Bulletin
+	tracker  *departure.Tracker
+	meter    *bulletin.Meter
+	stop     context.CancelFunc
+	done     chan struct{}
+	// The fields below are guarded by fleet.mu.
+	up          bool
+	paused      chan struct{}
+	group       int
+	cutOff      bool
+	disturbed   time.Time
+	wasReady    bool
+	seen        ebonyworks.Mark
+	markHistory []markAt
+	spent       uint64
+}
+
+type markAt struct {
+	mark ebonyworks.Mark
+	at   time.Time
+}
+
+// fleet is an in-memory network of hosts and a configuration service. It must
+// run in a synctest bubble.
+type fleet struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	loss   float64
+	nodes  []*node
+	// down makes the service unavailable to all.
+	down      bool
+	live      map[ebonyworks.Key]ebonyworks.Value
+	replicas  [3]map[ebonyworks.Key]ebonyworks.Value
+	frozen    [3]bool
+	changed   chan struct{}
+	departed  map[string]bool
+	calls     int
+	exchanges int
+	faults    []string
+}
+
+func newFleet(seed uint64, size int, loss float64) *fleet {
+	f := &fleet{
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		loss:     loss,
+		live:     map[ebonyworks.Key]ebonyworks.Value{},
+		changed:  make(chan struct{}),
+		departed: map[string]bool{},
+	}
+	for i := range size {
+		f.nodes = append(f.nodes, &node{fleet: f, host: ebonyworks.Host{
+			ID:      ebonyworks.HostID(fmt.Sprintf("entry-%03d", i)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7443),
+		}})
+	}
+	return f
+}
+
+func (f *fleet) uniform(from, to time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return from + time.Duration(f.random.Float64()*float64(to-from))
+}
+
+func (f *fleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+func (f *fleet) fail(format string, arguments ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = append(f.faults, fmt.Sprintf(format, arguments...))
+}
+
+// start begins a new life of the node.
+func (n *node) start() {
+	f := n.fleet
+	f.mu.Lock()
+	n.host.Incarnation++
+	n.up, n.wasReady, n.seen, n.markHistory = true, false, ebonyworks.Mark{}, nil
+	n.disturbed = time.Now()
+	seed := f.random.Uint64()
+	f.mu.Unlock()
+	n.edition = &edition.Edition{}
+	n.meter = bulletin.NewMeter(platform{n})
+	n.guild = guild.New(guild.Config{
+		Self: n.host, Seeds: []netip.AddrPort{f.nodes[0].host.Address}, Peer: peer{n}, Platform: n.meter,
+		Random:     rand.New(rand.NewPCG(seed, 2)),
+		ReadsOften: func() bool { return n.bulletin.ReadsOften() },
+		Beat:       n.await,
+	})
+	n.bulletin = bulletin.New(bulletin.Config{
+		Self: n.host.ID, HeadKey: headKey, PartKey: partKey, Platform: n.meter, Peer: peer{n},
+		Documents: documents{}, Fellows: n.guild, Edition: n.edition, Random: rand.New(rand.NewPCG(seed, 3)),
+	})
+	n.tracker = departure.New(departure.Config{Hasten: n.guild.Hasten})
+	n.guild.Attach(n.bulletin)
+	n.guild.Attach(n.tracker)
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop, n.done = stop, make(chan struct{})
+	go func() {
+		defer close(n.done)
+		var runs sync.WaitGroup
+		runs.Go(func() { n.guild.Run(ctx) })
+		runs.Go(func() { n.bulletin.Run(ctx) })
+		runs.Wait()
+	}()
+}
+
+// kill ends the life of the node.
+func (n *node) kill() {
+	n.resume()
+	n.fleet.mu.Lock()
+	wasUp := n.up
+	n.up = false
+	n.disturbed = time.Now()
+	n.fleet.mu.Unlock()
+	if wasUp {
+		n.stop()
+		<-n.done
+		made, _ := n.meter.Calls()
+		n.spent += made
+	}
+}
+
+func (n *node) pause() {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.up && n.paused == nil {
+		n.paused = make(chan struct{})
+		n.disturbed = time.Now()
+	}
+}
+
+func (n *node) resume() {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.paused != nil {
+		close(n.paused)
+		n.paused = nil
+		n.disturbed = time.Now()
+	}
+}
+
+// await blocks while the node is paused.
+func (n *node) await() {
+	n.fleet.mu.Lock()
+	paused := n.paused
+	n.fleet.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+func (n *node) ready() bool {
+	return n.guild.Readiness().Ready() && n.bulletin.Readiness().Ready()
+}
+
+// carry models the way of one call to another host and back. A lost or cut
+// off message leaves the caller waiting. A paused receiver handles the message
+// when it resumes, even if the caller has gone.
+func (f *fleet) carry(ctx context.Context, from *node, to netip.AddrPort, handle func(*node) error) error {
+	from.await()
+	f.mu.Lock()
+	f.exchanges++
+	var target *node
+	for _, candidate := range f.nodes {
+		if candidate.host.Address == to && candidate.up {
+			target = candidate
+		}
+	}
+	cut := target != nil && (target.group != from.group || f.random.Float64() < f.loss)
+	replyLost := f.random.Float64() < f.loss
+	f.mu.Unlock()
+	time.Sleep(f.uniform(500*time.Microsecond, 2*time.Millisecond))
+	if target == nil {
+		return errFault
+	}
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	result := make(chan error, 1)
+	go func() {
+		target.await()
+		result <- handle(target)
+	}()
+	select {
+	case err := <-result:
+		time.Sleep(f.uniform(500*time.Microsecond, 2*time.Millisecond))
+		from.await()
+		f.mu.Lock()
+		replyLost = replyLost || target.group != from.group
+		f.mu.Unlock()
+		if !replyLost {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	case <-ctx.Done():
+		from.await()
+		return ctx.Err()
+	}
+}
+
+// peer is the fake ebonyworks.Peer of one node.
+type peer struct{ node *node }
+
+func (p peer) Exchange(ctx context.Context, to netip.AddrPort, message ebonyworks.Exchange) (reply ebonyworks.Exchange, err error) {
+	p.node.observe(message.Mark)
+	var answer ebonyworks.Exchange
+	err = p.node.fleet.carry(ctx, p.node, to, func(target *node) error {
+		var err error
+		answer, err = target.guild.HandleExchange(ctx, message)
+		return err
+	})
+	if err != nil {
+		return ebonyworks.Exchange{}, err
+	}
+	return answer, nil
+}
+
+func (p peer) Relay(ctx context.Context, via, target netip.AddrPort) (bool, error) {
+	var answered bool
+	err := p.node.fleet.carry(ctx, p.node, via, func(relay *node) error {
+		var err error
+		answered, err = relay.guild.HandleRelay(ctx, target)
+		return err
+	})
+	return err == nil && answered, err
+}
+
+func (p peer) FetchHead(ctx context.Context, from netip.AddrPort) ([]byte, error) {
+	return p.fetch(ctx, from, func(source *node) ([]byte, error) { return source.bulletin.HandleFetchHead(ctx) })
+}
+
+func (p peer) FetchPart(ctx context.Context, from netip.AddrPort, digest ebonyworks.Digest) ([]byte, error) {
+	return p.fetch(ctx, from, func(source *node) ([]byte, error) { return source.bulletin.HandleFetchPart(ctx, digest) })
+}
+
+func (p peer) fetch(ctx context.Context, from netip.AddrPort, get func(*node) ([]byte, error)) ([]byte, error) {
+	var bytes []byte
+	err := p.node.fleet.carry(ctx, p.node, from, func(source *node) error {
+		var err error
+		bytes, err = get(source)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return bytes, nil
+}
+
+func (peer) Reserve(context.Context, ebonyworks.Host, ebonyworks.Reservation) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	return ebonyworks.Outcome{}, ebonyworks.NotDelivered
+}
+
+func (peer) Outcome(context.Context, ebonyworks.Host, string) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	return ebonyworks.Outcome{}, ebonyworks.NotDelivered
+}
+
+func (peer) HandOver(context.Context, ebonyworks.Host, ebonyworks.ClosedLedger) error { return nil }
+
+func (peer) Report(context.Context, netip.AddrPort, []ebonyworks.CrashReport) error { return nil }
+
+// platform is the fake ebonyworks.Platform of one node. Each call reaches a
+// random replica.
+type platform struct{ node *node }
+
+// reach models the way to the service and returns what a replica holds.
+func (p platform) reach(replica int) (map[ebonyworks.Key]ebonyworks.Value, chan struct{}, error) {
+	f := p.node.fleet
+	p.node.await()
+	time.Sleep(f.uniform(time.Millisecond, 4*time.Millisecond))
+	p.node.await()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || p.node.cutOff {
+		return nil, nil, errFault
+	}
+	if f.frozen[replica] {
+		return f.replicas[replica], f.changed, nil
+	}
+	return f.live, f.changed, nil
+}
+
+func (p platform) count() int {
+	f := p.node.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	return f.random.IntN(len(f.replicas))
+}
+
+func (p platform) Read(_ context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
+	values, _, err := p.reach(p.count())
+	if err != nil {
+		return ebonyworks.Value{}, err
+	}
+	return values[key], nil
+}
+
+func (p platform) Watch(ctx context.Context, key ebonyworks.Key, after ebonyworks.Version) (ebonyworks.Value, error) {
+	replica := p.count()
+	end := time.NewTimer(10 * time.Second)
+	defer end.Stop()
+	for {
+		values, changed, err := p.reach(replica)
+		if err != nil {
+			return ebonyworks.Value{}, err
+		}
+		if values[key].Version > after {
+			return values[key], nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return values[key], nil
+		case <-ctx.Done():
+			return ebonyworks.Value{}, ctx.Err()
+		}
+	}
+}
+
+func (p platform) Hosts(context.Context) ([]ebonyworks.ListedHost, error) {
+	if _, _, err := p.reach(p.count()); err != nil {
+		return nil, err
+	}
+	f := p.node.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var hosts []ebonyworks.ListedHost
+	for _, listed := range f.nodes {
+		hosts = append(hosts, ebonyworks.ListedHost{Name: string(listed.host.ID), Address: listed.host.Address})
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.departed)) {
+		hosts = append(hosts, ebonyworks.ListedHost{Name: name, Role: ebonyworks.ServerRole, Leaving: f.departed[name]})
+	}
+	return hosts, nil
+}
+
+// publish writes a part and a head to the service and returns the mark.
+func (f *fleet) publish(revision ebonyworks.Revision, content string) ebonyworks.Mark {
+	head, part, mark := publication(revision, content)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	values := maps.Clone(f.live)
+	for key, bytes := range map[ebonyworks.Key][]byte{partKey("routes"): part, headKey: head} {
+		values[key] = ebonyworks.Value{Key: key, Version: values[key].Version + 1, Bytes: bytes}
+	}
+	f.live = values
+	f.wake()
+	return mark
+}
+
+// freeze makes a replica stale, or lets it catch up.
+func (f *fleet) freeze(replica int, frozen bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if frozen && !f.frozen[replica] {
+		f.replicas[replica] = f.live
+	}
+	f.frozen[replica] = frozen
+	f.wake()
+}
+
+// interrupt makes the service unavailable to all, or available.
+func (f *fleet) interrupt(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	f.wake()
+}
+
+func (f *fleet) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// observe checks that the mark of a node never decreases within one life.
+func (n *node) observe(mark ebonyworks.Mark) {
+	n.fleet.mu.Lock()
+	before := n.seen
+	if mark.Compare(before) > 0 {
+		n.seen = mark
+		n.markHistory = append(n.markHistory, markAt{mark: mark, at: time.Now()})
+	}
+	n.fleet.mu.Unlock()
+	if mark.Compare(before) < 0 {
+		n.fleet.fail("%s went back from revision %d to %d", n.host.ID, before.Revision, mark.Revision)
+	}
+}
+
+// held returns the mark that the node had in force at the time.
+func (n *node) held(at time.Time) ebonyworks.Mark {
+	var mark ebonyworks.Mark
+	for _, entry := range n.markHistory {
+		if !entry.at.After(at) {
+			mark = entry.mark
+		}
+	}
+	return mark
+}
+
+// stopAll ends all lives, so that the bubble can end.
+func (f *fleet) stopAll() {
+	for _, n := range f.nodes {
+		n.kill()
+	}
+}
+
+func (f *fleet) startAll() {
+	for _, n := range f.nodes {
+		n.start()
+	}
+}
+
+// lagging returns the nodes that are up and don't have the mark in force.
+func (f *fleet) lagging(mark ebonyworks.Mark) []ebonyworks.HostID {
+	var lagging []ebonyworks.HostID
+	for _, n := range f.nodes {
+		if n.up && n.edition.Mark() != mark {
+			lagging = append(lagging, n.host.ID)
+		}
+	}
+	return lagging
+}
+
+// bubble runs a fleet in a synctest bubble and fails with what it recorded.
+func bubble(t *testing.T, seed uint64, size int, loss float64, run func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(seed, size, loss)
+		run(f)
+		f.stopAll()
+		synctest.Wait()
+		for _, fault := range f.faults {
+			t.Errorf("seed %d, %d hosts: %s", seed, size, fault)
+		}
+	})
+}
--- /dev/null
+++ b/coordination/bulletin/peers.go
@@ -0,0 +1,273 @@
+package bulletin
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+const (
+	// maxHeard bounds the peers that are remembered as holding something newer.
+	maxHeard = 8
+	// heardTime is how long a peer is believed to hold something newer while
+	// it can't be fetched.
+	heardTime = 5 * time.Second
+	// pullPeers is the number of peers that are asked for a head at a time.
+	pullPeers = 3
+	// pullTime limits the fetch of one head.
+	pullTime  = time.Second
+	pullRetry = 300 * time.Millisecond
+	// maxAnswers bounds the answers that are kept while settling.
+	maxAnswers = 64
+	// settlePeers is the number of peers that a fresh host asks.
+	settlePeers = 16
+	settleTime  = 500 * time.Millisecond
+	// equalReads is the number of equal answers of the service that replace
+	// the confirmation by a peer.
+	equalReads  = 3
+	settleFirst = 100 * time.Millisecond
+	// settleRounds is how often peers that don't answer are asked before a
+	// host becomes ready without them, since messages can be lost.
+	settleRounds = 4
+	settleLast  = 1500 * time.Millisecond
+)
+
+// heardMark is a configuration that a peer holds and this host doesn't.
+type heardMark struct {
+	mark ebonyworks.Mark
+	from netip.AddrPort
+	at   time.Time
+}
+
+// answer is what a peer said when it was asked.
+type answer struct {
+	host    ebonyworks.HostID
+	mark    ebonyworks.Mark
+	settled bool
+	asked   time.Time
+}
+
+// hear notes that the sender holds a newer configuration. b.mu is held.
+func (b *Bulletin) hear(message ebonyworks.Exchange) {
+	from := message.From.Address
+	b.heard = slices.DeleteFunc(b.heard, func(h heardMark) bool { return h.from == from })
+	if len(b.heard) == maxHeard {
+		b.heard = slices.Delete(b.heard, 0, 1)
+	}
+	b.heard = append(b.heard, heardMark{mark: message.Mark, from: from, at: time.Now()})
+	signal(b.pullWake)
+}
+
+func (b *Bulletin) noteAnswer(received answer) {
+	b.answers = slices.DeleteFunc(b.answers, func(a answer) bool { return a.host == received.host })
+	if len(b.answers) == maxAnswers {
+		b.answers = slices.Delete(b.answers, 0, 1)
+	}
+	b.answers = append(b.answers, received)
+}
+
+// pull fetches heads that peers hold.
+func (b *Bulletin) pull(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.pullWake:
+		}
+		sources := b.sources(time.Now())
+		if len(sources) == 0 {
+			continue
+		}
+		if !b.pullFrom(ctx, sources) && !wait(ctx, b.uniform(pullRetry/2, pullRetry), nil) {
+			return
+		}
+		if b.stillHeard() {
+			// Heard marks leave the list when they are accepted, refused or
+			// too old.
+			if !wait(ctx, pullRetry, b.pullWake) {
+				return
+			}
+			signal(b.pullWake)
+		}
+	}
+}
+
+// sources returns the peers with the newest heard marks.
+func (b *Bulletin) sources(now time.Time) []heardMark {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard = slices.DeleteFunc(b.heard, func(h heardMark) bool { return now.Sub(h.at) > heardTime })
+	sources := slices.Clone(b.heard)
+	slices.SortStableFunc(sources, func(x, y heardMark) int { return y.mark.Compare(x.mark) })
+	return sources[:min(len(sources), pullPeers)]
+}
+
+func (b *Bulletin) stillHeard() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.heard) > 0
+}
+
+// pullFrom fetches the heads of the sources and reports whether any came.
+func (b *Bulletin) pullFrom(ctx context.Context, sources []heardMark) bool {
+	fetched := make([]bool, len(sources))
+	var calls sync.WaitGroup
+	for i, source := range sources {
+		calls.Go(func() { fetched[i] = b.pullOne(ctx, source) })
+	}
+	calls.Wait()
+	return slices.Contains(fetched, true)
+}
+
+func (b *Bulletin) pullOne(ctx context.Context, source heardMark) bool {
+	ctx, cancel := context.WithTimeout(ctx, pullTime)
+	defer cancel()
+	bytes, err := b.config.Peer.FetchHead(ctx, source.from)
+	if err != nil || len(bytes) > maxDocumentBytes {
+		return false
+	}
+	mark, valid := b.consider(bytes, source.from, time.Time{})
+	if !valid || mark.Compare(source.mark) < 0 {
+		// The peer claims what it doesn't have, or has what is refused here.
+		b.unhear(source)
+	}
+	return true
+}
+
+func (b *Bulletin) unhear(source heardMark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard = slices.DeleteFunc(b.heard, func(h heardMark) bool { return h.from == source.from })
+}
+
+// settle checks after a start or a pause whether the configuration in force
+// is the newest that can be found.
+func (b *Bulletin) settle(ctx context.Context) {
+	for {
+		delay := settleFirst
+		for round := 1; !b.trySettle(ctx, round); round++ {
+			if !wait(ctx, b.uniform(delay/2, delay), b.settleWake) {
+				return
+			}
+			if round >= settleRounds {
+				delay = min(2*delay, settleLast)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.settleWake:
+		}
+	}
+}
+
+// trySettle asks peers, and the service if no peer can confirm.
+func (b *Bulletin) trySettle(ctx context.Context, round int) bool {
+	if b.isSettled() {
+		return true
+	}
+	began := time.Now()
+	complete := b.askPeers(ctx)
+	verdict := b.judge(began)
+	if verdict == needsService {
+		b.readHead(ctx)
+		verdict = b.judge(began)
+	}
+	if verdict != confirmedByPeer && verdict != confirmedByService {
+		return false
+	}
+	if !complete && round < settleRounds {
+		return false
+	}
+	if !b.markSettled(began) {
+		return false
+	}
+	if verdict == confirmedByService {
+		b.record(event.ConfigurationFromServiceOnly, markAttributes(b.config.Edition.Mark())...)
+	}
+	b.record(event.ConfigurationSettled, markAttributes(b.config.Edition.Mark())...)
+	return true
+}
+
+func (b *Bulletin) isSettled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settled
+}
+
+func (b *Bulletin) markSettled(began time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if began.Before(b.doubted) {
+		return false
+	}
+	b.settled = true
+	return true
+}
+
+// askPeers asks the members that are alive, and other addresses. It reports
+// whether all of them answered.
+func (b *Bulletin) askPeers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	targets := b.somePeers(settlePeers)
+	others := b.config.Fellows.Candidates()
+	b.shuffle(others)
+	targets = append(targets, others[:min(len(others), settlePeers)]...)
+	answered := make([]bool, len(targets))
+	var calls sync.WaitGroup
+	for i, target := range targets {
+		calls.Go(func() { answered[i] = b.config.Fellows.Ask(ctx, target) == nil })
+	}
+	calls.Wait()
+	return !slices.Contains(answered, false)
+}
+
+// settleVerdict is how far a host is from being settled.
+type settleVerdict int
+
+const (
+	// needsNewer means that a peer holds something newer, which is being pulled.
+	needsNewer settleVerdict = iota
+	// needsService means that no peer can confirm.
+	needsService
+	confirmedByPeer
+	confirmedByService
+)
+
+// judge weighs the answers to questions that were asked since the time.
+func (b *Bulletin) judge(began time.Time) settleVerdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	mine := b.config.Edition.Mark()
+	byPeer := false
+	for _, given := range b.answers {
+		if given.asked.Before(began) {
+			continue
+		}
+		_, refused := b.config.Edition.Refused(given.mark.Digest)
+		if given.mark.Compare(mine) > 0 && !refused {
+			return needsNewer
+		}
+		byPeer = byPeer || given.settled
+	}
+	switch {
+	case mine == (ebonyworks.Mark{}):
+		return needsService
+	case byPeer:
+		return confirmedByPeer
+	case b.service.equal >= equalReads && !b.newerCandidate(mine):
+		return confirmedByService
+	default:
+		return needsService
+	}
+}
+
+func (b *Bulletin) newerCandidate(mine ebonyworks.Mark) bool {
+	return len(b.candidates) > 0 && b.candidates[0].mark.Compare(mine) > 0
+}
--- /dev/null
+++ b/coordination/bulletin/watch.go
@@ -0,0 +1,240 @@
+package bulletin
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+const (
+	// watcherCount is the number of hosts that watch the service for all.
+	watcherCount = 3
+	// readTime limits one reading.
+	readTime = time.Second
+	// watchTime limits one watch that the service doesn't end by itself.
+	watchTime = time.Minute
+	// readInterval is how often a host that reads for all does so. A watch
+	// alone wouldn't show that the service is out of reach.
+	readInterval = time.Second
+	// seldomInterval is the safety net of the other hosts.
+	seldomInterval = time.Minute
+	// roleInterval is how often a host looks whether it has to read.
+	roleInterval = 250 * time.Millisecond
+	// stepAge is the age of the last confirmation from which a host of a
+	// fleet of 8 reads by itself. Larger fleets hear later of confirmations.
+	stepAge  = 2500 * time.Millisecond
+	stepSize = 8
+	// While the service doesn't answer, each host of a small fleet tries this
+	// often, and a large fleet tries maxFailingReads times a second in all.
+	failingInterval = 1500 * time.Millisecond
+	maxFailingReads = 200
+)
+
+// serviceState is what the readings of the service showed.
+type serviceState struct {
+	failing bool
+	stale   bool
+	// version is the largest that was seen.
+	version ebonyworks.Version
+	// last is the digest that the last reading showed, and equal the number
+	// of readings in a row that showed it.
+	last  ebonyworks.Digest
+	equal int
+	// nextRead is when an unwatched host may read next.
+	nextRead time.Time
+	// nextSeldom is when the safety net reads next.
+	nextSeldom time.Time
+}
+
+// ReadsOften reports whether this host currently reads the service for all.
+func (b *Bulletin) ReadsOften() bool {
+	if b.chosen() {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stepped
+}
+
+// chosen reports whether this host is among the watchers by rendezvous hashing.
+func (b *Bulletin) chosen() bool {
+	larger := 0
+	for _, host := range b.config.Fellows.Alive() {
+		if heavier(host.ID, b.config.Self) {
+			larger++
+		}
+	}
+	return larger < watcherCount
+}
+
+// heavier reports whether a comes before b in the order of watchers.
+func heavier(a, b ebonyworks.HostID) bool {
+	return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) > 0
+}
+
+func weight(id ebonyworks.HostID) uint64 { return xxhash.Sum64String("watch/" + string(id)) }
+
+// watch waits for changes while this host is a chosen watcher.
+func (b *Bulletin) watch(ctx context.Context) {
+	var version ebonyworks.Version
+	failures := 0
+	for ctx.Err() == nil {
+		if !b.chosen() {
+			failures = 0
+			if !wait(ctx, b.uniform(roleInterval/2, 3*roleInterval/2), nil) {
+				return
+			}
+			continue
+		}
+		asked := time.Now()
+		value, err := b.watchOnce(ctx, version)
+		if err == nil {
+			failures = 0
+			b.show(value, asked)
+			// A version below the last one is a stale replica's.
+			version = max(version, value.Version)
+		} else {
+			failures++
+		}
+		// A service that answers at once, with an error or with what is
+		// known, must not be asked in a tight loop.
+		pause := time.Duration(min(failures, 4)) * readInterval / 2
+		if time.Since(asked) < roleInterval {
+			pause = max(pause, roleInterval)
+		}
+		if !wait(ctx, b.uniform(pause/2, 3*pause/2), nil) {
+			return
+		}
+	}
+}
+
+func (b *Bulletin) watchOnce(ctx context.Context, after ebonyworks.Version) (ebonyworks.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime)
+	defer cancel()
+	return b.config.Platform.Watch(ctx, b.config.HeadKey, after)
+}
+
+// poll reads the head when this host has to: every second if it reads for
+// all, soon if nobody else seems to, and seldom otherwise.
+func (b *Bulletin) poll(ctx context.Context) {
+	b.mu.Lock()
+	b.service.nextSeldom = time.Now().Add(time.Duration(b.random.Float64() * float64(seldomInterval)))
+	b.mu.Unlock()
+	for wait(ctx, b.uniform(roleInterval/2, 3*roleInterval/2), nil) {
+		if b.mustRead(time.Now()) {
+			b.readHead(ctx)
+		}
+	}
+}
+
+func (b *Bulletin) mustRead(now time.Time) bool {
+	chosen := b.chosen()
+	size := len(b.config.Fellows.Alive()) + 1
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Before(b.service.nextRead) {
+		return false
+	}
+	unheard := now.Sub(b.confirmed) > stepTime(size)
+	seldom := !now.Before(b.service.nextSeldom)
+	if seldom {
+		b.service.nextSeldom = now.Add(time.Duration((0.5 + b.random.Float64()) * float64(seldomInterval)))
+	}
+	if !chosen && !b.stepped && !unheard && !seldom {
+		return false
+	}
+	interval := readInterval
+	if b.service.failing {
+		interval = max(failingInterval, time.Duration(size)*time.Second/maxFailingReads)
+	}
+	b.service.nextRead = now.Add(time.Duration((0.7 + 0.6*b.random.Float64()) * float64(interval)))
+	return true
+}
+
+// stepTime is the age of the last confirmation from which a host reads by
+// itself.
+func stepTime(size int) time.Duration {
+	factor := 1 + math.Log2(max(1, float64(size)/stepSize))/2
+	return time.Duration(factor * float64(stepAge))
+}
+
+// readHead reads the head once and reports whether the service answered.
+func (b *Bulletin) readHead(ctx context.Context) bool {
+	asked := time.Now()
+	value, err := b.read(ctx, b.config.HeadKey)
+	b.noteService(err)
+	if err != nil {
+		return false
+	}
+	b.show(value, asked)
+	return true
+}
+
+func (b *Bulletin) read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	return b.config.Platform.Read(ctx, key)
+}
+
+// noteService records when the service stops or starts answering.
+func (b *Bulletin) noteService(err error) {
+	b.mu.Lock()
+	changed := b.service.failing != (err != nil)
+	b.service.failing = err != nil
+	if err != nil {
+		b.stepped = false
+		b.service.equal = 0
+	}
+	b.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		b.record(event.ConfigurationServiceUnavailable, event.Attribute("Error", err.Error()))
+	default:
+		b.record(event.ConfigurationServiceAvailable)
+	}
+}
+
+// show takes a head that the service returned to a request of the given time.
+func (b *Bulletin) show(value ebonyworks.Value, asked time.Time) {
+	if len(value.Bytes) == 0 {
+		return
+	}
+	mark, valid := b.consider(value.Bytes, netip.AddrPort{}, asked)
+	chosen := b.chosen()
+	b.mu.Lock()
+	mine := b.config.Edition.Mark()
+	b.countEqual(mark.Digest)
+	// A sibling that lost, or a refused value that no replica has replaced,
+	// shows that nothing newer can be had.
+	latestRefused := !valid && value.Version >= b.service.version
+	siblingLost := mark.Revision == mine.Revision && mark.Compare(mine) <= 0
+	current := siblingLost || latestRefused
+	stale := valid && mark.Revision < mine.Revision
+	newlyStale := stale && !b.service.stale
+	b.service.stale = stale
+	b.service.version = max(b.service.version, value.Version)
+	if current && mine != (ebonyworks.Mark{}) && !asked.Before(b.doubted) {
+		b.confirm(asked, b.config.Self)
+		b.stepped = !chosen
+	}
+	b.mu.Unlock()
+	if newlyStale {
+		b.record(event.ConfigurationServiceStale, markAttributes(mark)...)
+	}
+}
+
+func (b *Bulletin) countEqual(digest ebonyworks.Digest) {
+	if b.service.last != digest {
+		b.service.last = digest
+		b.service.equal = 0
+	}
+	b.service.equal++
+}
--- /dev/null
+++ b/coordination/guild/crash.go
@@ -0,0 +1,45 @@
+package guild
+
+import (
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// crashOverhead is the encoded size of a crash report without its name.
+const crashOverhead = 32
+
+// CrashBook holds the crash reports that hosts share.
+type CrashBook interface {
+	// Reports returns the reports worth sending, the most important first.
+	Reports() []ebonyworks.CrashReport
+	// Learn takes the reports of another host.
+	Learn(reports []ebonyworks.CrashReport)
+}
+
+// CrashCarrier is a Contributor that carries the reports of a CrashBook.
+type CrashCarrier struct {
+	// Book must not be nil.
+	Book CrashBook
+}
+
+// Contribute adds reports within the budget.
+func (c CrashCarrier) Contribute(message *ebonyworks.Exchange, budget int) {
+	for _, report := range c.Book.Reports() {
+		budget -= crashOverhead + len(report.Server)
+		if budget < 0 {
+			return
+		}
+		message.Crashes = append(message.Crashes, report)
+	}
+}
+
+// Absorb hands the reports to the book.
+func (c CrashCarrier) Absorb(message ebonyworks.Exchange, _ time.Time) {
+	if len(message.Crashes) > 0 {
+		c.Book.Learn(message.Crashes)
+	}
+}
+
+// Doubt does nothing: a death stays a death.
+func (c CrashCarrier) Doubt() {}
--- /dev/null
+++ b/coordination/guild/exchange.go
@@ -0,0 +1,168 @@
+package guild
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+	"github.com/ebonyworks/ebonyworks/state/roster"
+)
+
+// Budgets of one message in bytes, for members and for each contributor.
+const (
+	memberBudget          = 500
+	contributorBudget     = 300
+	fullMemberBudget      = 40 << 10
+	fullContributorBudget = 8 << 10
+	// otherFacts is the number of facts that a message repeats although they
+	// were spread before, so that lost ones are made up for.
+	otherFacts = 2
+	// sendFactor times the binary logarithm of the size is the number of
+	// messages that carry a new fact.
+	sendFactor = 3
+)
+
+var errBusy = errors.New("too many relays in progress")
+
+// HandleExchange answers the message of another host.
+func (g *Guild) HandleExchange(_ context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	g.checkPause(time.Now())
+	g.absorb(message, time.Time{})
+	return g.compose(message.From.ID, message.Full), nil
+}
+
+// HandleRelay probes the host at the address for another host.
+func (g *Guild) HandleRelay(ctx context.Context, target netip.AddrPort) (bool, error) {
+	select {
+	case g.relays <- struct{}{}:
+	default:
+		return false, errBusy
+	}
+	defer func() { <-g.relays }()
+	_, err := g.exchange(ctx, target, false)
+	return err == nil, nil
+}
+
+// exchange sends one message and learns from the reply.
+func (g *Guild) exchange(ctx context.Context, to netip.AddrPort, full bool) (ebonyworks.Exchange, error) {
+	ctx, cancel := context.WithTimeout(ctx, directTime)
+	defer cancel()
+	message := g.compose(g.memberAt(to), false)
+	message.Full = full
+	asked := time.Now()
+	reply, err := g.config.Peer.Exchange(ctx, to, message)
+	if err != nil {
+		return ebonyworks.Exchange{}, err
+	}
+	g.checkPause(time.Now())
+	if reply.From.ID == g.config.Self.ID {
+		g.absorb(reply, asked)
+		return ebonyworks.Exchange{}, errors.New("the address is this host's own")
+	}
+	g.absorb(reply, asked)
+	g.answered(asked)
+	return reply, nil
+}
+
+// compose makes a message for the host. It always carries this host's own
+// fact, and what this host believes of the receiver if that isn't alive, so
+// that the receiver can refute it.
+func (g *Guild) compose(to ebonyworks.HostID, full bool) ebonyworks.Exchange {
+	message := ebonyworks.Exchange{From: g.config.Self}
+	message.Members = append(message.Members, g.roster.Self())
+	if member, found := g.roster.Member(to); found && member.State != ebonyworks.MemberAlive {
+		message.Members = append(message.Members, member)
+	}
+	message.Members = append(message.Members, g.facts(full)...)
+	budget := contributorBudget
+	if full {
+		budget = fullContributorBudget
+	}
+	for _, contributor := range g.contributors {
+		contributor.Contribute(&message, budget)
+	}
+	return message
+}
+
+func (g *Guild) facts(full bool) []ebonyworks.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if full {
+		return g.roster.Facts(fullMemberBudget, 0, fullMemberBudget, g.random)
+	}
+	return g.roster.Facts(memberBudget, g.sendLimit(), otherFacts, g.random)
+}
+
+func (g *Guild) sendLimit() int { return sendFactor * log2(g.roster.Size()) }
+
+// absorb learns from a message.
+func (g *Guild) absorb(message ebonyworks.Exchange, asked time.Time) {
+	if message.From.ID == g.config.Self.ID {
+		g.learn(ebonyworks.Member{Host: message.From})
+		return
+	}
+	g.learn(ebonyworks.Member{Host: message.From})
+	for _, fact := range message.Members {
+		g.learn(fact)
+	}
+	for _, contributor := range g.contributors {
+		contributor.Absorb(message, asked)
+	}
+}
+
+// learn merges a fact and records what it changed.
+func (g *Guild) learn(fact ebonyworks.Member) {
+	if !fact.Host.Address.IsValid() {
+		return
+	}
+	change := g.roster.Merge(fact, time.Now())
+	switch {
+	case change.Replaced:
+		g.record(event.HostReplaced, hostAttributes(fact.Host)...)
+	case change.Refuted:
+		round := event.Attribute("Round", strconv.FormatUint(g.roster.Self().Round, 10))
+		g.record(event.SuspicionRefuted, round)
+		g.Hasten()
+	case change.Applied:
+		g.recordState(fact, change)
+	}
+}
+
+func (g *Guild) recordState(fact ebonyworks.Member, change roster.Change) {
+	changed := change.New || change.Before != fact.State
+	switch {
+	case !changed:
+	case fact.State == ebonyworks.MemberLeft:
+		g.record(event.MemberLeft, hostAttributes(fact.Host)...)
+		if !change.New {
+			g.Hasten()
+		}
+	case fact.State == ebonyworks.MemberDead:
+		g.record(event.MemberDied, hostAttributes(fact.Host)...)
+	case fact.State == ebonyworks.MemberSuspect:
+		g.record(event.MemberSuspected, hostAttributes(fact.Host)...)
+	case change.New:
+		g.record(event.MemberJoined, hostAttributes(fact.Host)...)
+	default:
+		g.record(event.MemberReturned, hostAttributes(fact.Host)...)
+	}
+}
+
+// memberAt returns the id of the member at the address, or nothing.
+func (g *Guild) memberAt(address netip.AddrPort) ebonyworks.HostID {
+	return g.roster.At(address)
+}
+
+func log2(size int) int {
+	bits := 1
+	for size > 1 {
+		size /= 2
+		bits++
+	}
+	return bits
+}
--- /dev/null
+++ b/coordination/guild/guild.go
@@ -0,0 +1,275 @@
+// Package guild keeps the membership of entry hosts: which are alive, which
+// are suspected, and which left. It follows the SWIM protocol and carries the
+// facts of other packages on its messages.
+package guild
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+	"github.com/ebonyworks/ebonyworks/state/roster"
+)
+
+const (
+	// probeInterval is the time between two probes of this host.
+	probeInterval = time.Second
+	// directTime and relayTime together are shorter than probeInterval.
+	directTime = 350 * time.Millisecond
+	relayTime  = 550 * time.Millisecond
+	// relayCount is the number of indirect probes before a suspicion.
+	relayCount = 3
+	// maxRelays bounds the probes that this host runs for others at a time.
+	maxRelays = 16
+	// maxProbes bounds the probes in flight.
+	maxProbes = 4
+	// suspicionFactor times the probe interval times the decimal logarithm of
+	// the size is the time that a suspected member has to refute.
+	suspicionFactor = 4
+	// beatInterval is the interval of the host's own tick.
+	beatInterval = 200 * time.Millisecond
+	// pauseGap is the gap between ticks that counts as a pause.
+	pauseGap = time.Second
+	// retriesPerSecond is how often all hosts of a side together try each
+	// member that doesn't answer, so that a healed partition is found at once.
+	retriesPerSecond = 2
+)
+
+// Contributor adds its facts to messages and learns from those of others.
+type Contributor interface {
+	// Contribute adds facts of about budget bytes at most.
+	Contribute(message *ebonyworks.Exchange, budget int)
+	// Absorb learns from a message. It was made after the time asked; if asked
+	// is zero, the age of the message is unknown.
+	Absorb(message ebonyworks.Exchange, asked time.Time)
+	// Doubt tells that the process was paused: what was known may be stale.
+	Doubt()
+}
+
+// ListReader takes the platform's host list.
+type ListReader interface {
+	Listed(hosts []ebonyworks.ListedHost, asked time.Time)
+}
+
+// Config holds what a Guild needs. Only Seeds, Recorder, ReadsOften and Beat
+// may be zero.
+type Config struct {
+	Self ebonyworks.Host
+	// Seeds are addresses of hosts to find others through.
+	Seeds    []netip.AddrPort
+	Peer     ebonyworks.Peer
+	Platform ebonyworks.Platform
+	// Random belongs to the Guild.
+	Random   *rand.Rand
+	Recorder ebonyworks.Recorder
+	// ReadsOften tells whether this host reads the host list every second for
+	// all others. Nil means that it does.
+	ReadsOften func() bool
+	// Beat is called at every tick of the host's clock, for example to feed a
+	// watchdog.
+	Beat func()
+}
+
+// Guild keeps the membership of entry hosts. Use New, Attach, then Run.
+type Guild struct {
+	config       Config
+	roster       *roster.Roster
+	contributors []Contributor
+	listReaders  []ListReader
+	spreadWake   chan struct{}
+	refreshWake  chan struct{}
+	tasks        sync.WaitGroup
+	probes       chan struct{}
+	relays       chan struct{}
+
+	mu sync.Mutex
+	// random is used only under mu.
+	random *rand.Rand
+	// lastBeat is zero until Run.
+	lastBeat time.Time
+	// freshSince is when the host started or was last resumed. Only answers
+	// that were asked for since then count as fresh.
+	freshSince time.Time
+	refreshed  bool
+	// isolated is set while no known peer answers.
+	isolated bool
+	// order holds the members that are still to be probed in this round.
+	order []ebonyworks.HostID
+	// listed are the entry hosts of the platform's list, at most maxListed.
+	listed     []ebonyworks.ListedHost
+	listAt     time.Time
+	listFailed bool
+	budget     burstBudget
+}
+
+// New returns a guild of one host.
+func New(config Config) *Guild {
+	return &Guild{
+		config:      config,
+		roster:      roster.New(config.Self),
+		random:      config.Random,
+		spreadWake:  make(chan struct{}, 1),
+		refreshWake: make(chan struct{}, 1),
+		probes:      make(chan struct{}, maxProbes),
+		relays:      make(chan struct{}, maxRelays),
+	}
+}
+
+// Attach adds a contributor. If it is a ListReader, it gets the host list,
+// too. Attach must not be called after Run.
+func (g *Guild) Attach(contributor Contributor) {
+	g.contributors = append(g.contributors, contributor)
+	if reader, found := contributor.(ListReader); found {
+		g.listReaders = append(g.listReaders, reader)
+	}
+}
+
+// Run keeps the membership until the context ends, and returns when all of
+// its work has stopped.
+func (g *Guild) Run(ctx context.Context) {
+	now := time.Now()
+	g.mu.Lock()
+	g.lastBeat, g.freshSince = now, now
+	g.budget = burstBudget{tokens: burstCapacity, filled: now}
+	g.mu.Unlock()
+	for _, loop := range []func(context.Context){g.beat, g.probe, g.readList, g.spread, g.refresh} {
+		g.tasks.Go(func() { loop(ctx) })
+	}
+	<-ctx.Done()
+	g.tasks.Wait()
+}
+
+// Leave tells all members that this host is stopping, as far as the context
+// allows. Call it before the context of Run ends.
+func (g *Guild) Leave(ctx context.Context) {
+	g.roster.Leave()
+	var calls sync.WaitGroup
+	for _, target := range g.spreadTargets() {
+		calls.Go(func() { _, _ = g.exchange(ctx, target, false) })
+	}
+	calls.Wait()
+}
+
+// Self returns the fact about this host.
+func (g *Guild) Self() ebonyworks.Member { return g.roster.Self() }
+
+// Alive returns the other members that are alive or only suspected.
+func (g *Guild) Alive() []ebonyworks.Host { return g.roster.Alive() }
+
+// Members returns all other members that are known.
+func (g *Guild) Members() []ebonyworks.Member { return g.roster.Members() }
+
+// Ask exchanges with the host at the address and asks for all that it knows.
+func (g *Guild) Ask(ctx context.Context, to netip.AddrPort) error {
+	_, err := g.exchange(ctx, to, true)
+	return err
+}
+
+// Readiness tells whether the state is fresh.
+func (g *Guild) Readiness() ebonyworks.Readiness {
+	g.checkPause(time.Now())
+	var reasons []string
+	g.mu.Lock()
+	if !g.refreshed {
+		reasons = append(reasons, "state not refreshed since the start or a pause")
+	}
+	g.mu.Unlock()
+	if g.roster.Replaced() {
+		reasons = append(reasons, "a later incarnation of this host is running")
+	}
+	if g.roster.Self().State == ebonyworks.MemberLeft {
+		reasons = append(reasons, "stopping")
+	}
+	return ebonyworks.Readiness{Reasons: reasons}
+}
+
+// View is what a host sees and doesn't see of the others.
+type View struct {
+	Self ebonyworks.Member
+	// Members are all other members that are known.
+	Members []ebonyworks.Member
+	// Unanswered are addresses of seeds, listed hosts and dead members at
+	// which no member answers.
+	Unanswered []netip.AddrPort
+	// Isolated is set while no peer answers.
+	Isolated bool
+	// ListRead is when the host list was last read; zero means never.
+	ListRead time.Time
+}
+
+// View returns what this host sees and doesn't see.
+func (g *Guild) View() View {
+	view := View{Self: g.roster.Self(), Members: g.roster.Members(), Unanswered: g.Candidates()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	view.Isolated = g.isolated
+	view.ListRead = g.listAt
+	return view
+}
+
+func (g *Guild) suspicionTime() time.Duration {
+	size := float64(len(g.roster.Alive()) + 1)
+	factor := suspicionFactor * max(1, math.Log10(size))
+	return time.Duration(factor * float64(probeInterval))
+}
+
+func (g *Guild) record(id ebonyworks.EventID, attributes ...ebonyworks.Attribute) {
+	if g.config.Recorder != nil {
+		g.config.Recorder.Record(event.New(id, attributes...))
+	}
+}
+
+func hostAttributes(host ebonyworks.Host) []ebonyworks.Attribute {
+	return []ebonyworks.Attribute{
+		event.Attribute("Host", string(host.ID)),
+		event.Attribute("Incarnation", strconv.FormatUint(uint64(host.Incarnation), 10)),
+		event.Attribute("Address", host.Address.String()),
+	}
+}
+
+// chance returns true with the probability.
+func (g *Guild) chance(probability float64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.random.Float64() < probability
+}
+
+// jitter returns a duration within the share around d.
+func (g *Guild) jitter(d time.Duration, share float64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(float64(d) * (1 + share*(2*g.random.Float64()-1)))
+}
+
+func (g *Guild) shuffle(addresses []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.random.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+}
+
+// sleep waits, or returns false if the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/coordination/guild/refresh.go
@@ -0,0 +1,226 @@
+package guild
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+const (
+	// refreshPeers is the number of peers that are asked at once after a
+	// start or a pause.
+	refreshPeers = 5
+	refreshFirst = 100 * time.Millisecond
+	refreshLast  = 2 * time.Second
+	// listOften and listSeldom are the intervals of reading the host list: by
+	// the few hosts that read for all, and by the others.
+	listOften  = time.Second
+	listSeldom = 20 * time.Second
+	// listAlone applies to a host that knows no peer.
+	listAlone   = 2 * time.Second
+	listBackoff = 8 * time.Second
+	listTime    = time.Second
+	maxListed   = 4096
+)
+
+// beat watches the host's own clock.
+func (g *Guild) beat(ctx context.Context) {
+	for sleep(ctx, beatInterval) {
+		if g.config.Beat != nil {
+			g.config.Beat()
+		}
+		g.checkPause(time.Now())
+		g.mu.Lock()
+		g.lastBeat = time.Now()
+		g.mu.Unlock()
+	}
+}
+
+// checkPause reports whether this process didn't run for more than pauseGap
+// until now. If so, all that is cached counts as stale.
+func (g *Guild) checkPause(now time.Time) bool {
+	g.mu.Lock()
+	if g.lastBeat.IsZero() {
+		g.mu.Unlock()
+		return false
+	}
+	// The monotonic clock stands still while some machines are suspended.
+	gap := max(now.Sub(g.lastBeat), now.Round(0).Sub(g.lastBeat.Round(0)))
+	if gap <= pauseGap {
+		g.mu.Unlock()
+		return false
+	}
+	g.lastBeat, g.freshSince, g.refreshed = now, now, false
+	g.mu.Unlock()
+	g.roster.Renew(now)
+	for _, contributor := range g.contributors {
+		contributor.Doubt()
+	}
+	g.record(event.ProcessPaused, event.Attribute("Gap", gap.String()))
+	signal(g.refreshWake)
+	return true
+}
+
+func (g *Guild) since() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.freshSince
+}
+
+// answered notes that a peer answered a message sent at the time.
+func (g *Guild) answered(asked time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !asked.Before(g.freshSince) {
+		g.isolated = false
+	}
+}
+
+// refresh asks peers and the platform for everything after a start or a pause.
+func (g *Guild) refresh(ctx context.Context) {
+	for {
+		wait := refreshFirst
+		for !g.tryRefresh(ctx) {
+			if !sleep(ctx, g.jitter(wait, 0.3)) {
+				return
+			}
+			wait = min(2*wait, refreshLast)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.refreshWake:
+		}
+	}
+}
+
+// tryRefresh succeeds if a peer answered, or if none does but the host list
+// could be read.
+func (g *Guild) tryRefresh(ctx context.Context) bool {
+	began := time.Now()
+	listRead := g.fetchList(ctx)
+	if !g.askPeers(ctx) {
+		g.lostPeers()
+		if !listRead {
+			return false
+		}
+	}
+	g.mu.Lock()
+	fresh := !began.Before(g.freshSince) && ctx.Err() == nil
+	changed := fresh && !g.refreshed
+	g.refreshed = g.refreshed || fresh
+	g.mu.Unlock()
+	if changed {
+		g.record(event.StateRefreshed)
+	}
+	return fresh
+}
+
+// lostPeers notes that no known peer answers.
+func (g *Guild) lostPeers() {
+	g.mu.Lock()
+	changed := !g.isolated
+	g.isolated = true
+	g.mu.Unlock()
+	if changed {
+		g.record(event.AllPeersLost)
+	}
+}
+
+// askPeers asks for everything, first members that were last alive, then
+// other addresses, and reports whether any answered.
+func (g *Guild) askPeers(ctx context.Context) bool {
+	var alive []netip.AddrPort
+	for _, host := range g.roster.Alive() {
+		alive = append(alive, host.Address)
+	}
+	g.shuffle(alive)
+	candidates := g.Candidates()
+	g.shuffle(candidates)
+	for _, group := range [][]netip.AddrPort{alive, candidates} {
+		if g.askAll(ctx, group[:min(len(group), refreshPeers)]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Guild) askAll(ctx context.Context, targets []netip.AddrPort) bool {
+	answers := make([]bool, len(targets))
+	var calls sync.WaitGroup
+	for i, target := range targets {
+		calls.Go(func() { answers[i] = g.Ask(ctx, target) == nil })
+	}
+	calls.Wait()
+	for _, answered := range answers {
+		if answered {
+			return true
+		}
+	}
+	return false
+}
+
+// readList reads the platform's host list at an interval.
+func (g *Guild) readList(ctx context.Context) {
+	failures := 0
+	for sleep(ctx, g.listWait(failures)) {
+		failures++
+		if g.fetchList(ctx) {
+			failures = 0
+		}
+	}
+}
+
+func (g *Guild) listWait(failures int) time.Duration {
+	wait := listSeldom
+	switch {
+	case g.config.ReadsOften == nil || g.config.ReadsOften():
+		wait = listOften
+	case len(g.roster.Alive()) == 0:
+		wait = listAlone
+	}
+	for range min(failures, 3) {
+		wait = min(2*wait, max(wait, listBackoff))
+	}
+	return g.jitter(wait, 0.3)
+}
+
+// fetchList reads the host list once and reports whether it could.
+func (g *Guild) fetchList(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	asked := time.Now()
+	hosts, err := g.config.Platform.Hosts(ctx)
+	g.mu.Lock()
+	newlyFailed := err != nil && !g.listFailed
+	g.listFailed = err != nil
+	if err == nil {
+		g.listAt = asked
+		g.listed = entryHosts(hosts)
+	}
+	g.mu.Unlock()
+	if newlyFailed {
+		g.record(event.HostListUnavailable, event.Attribute("Error", err.Error()))
+	}
+	if err != nil {
+		return false
+	}
+	for _, reader := range g.listReaders {
+		reader.Listed(hosts, asked)
+	}
+	return true
+}
+
+func entryHosts(hosts []ebonyworks.ListedHost) []ebonyworks.ListedHost {
+	var entries []ebonyworks.ListedHost
+	for _, host := range hosts {
+		if host.Role == ebonyworks.EntryRole && len(entries) < maxListed {
+			entries = append(entries, host)
+		}
+	}
+	return entries
+}
--- a/peer.go
+++ b/peer.go
@@ -84,6 +84,8 @@
 	// by the sender or another host, and showed nothing newer than Mark.
 	Confirmed    bool
 	ConfirmedAge time.Duration
+	// ConfirmedBy is the host that read the service.
+	ConfirmedBy HostID
 	// Full asks the receiver for all that it knows, not only recent facts.
 	Full       bool
 	Members    []Member
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	}
 	if message.Confirmed {
 		// Rounded up, so that no confirmation seems newer than it is.
+		facts.ConfirmedBy = string(message.ConfirmedBy)
 		facts.ConfirmedAgeMilliseconds = proto.Uint64(milliseconds(message.ConfirmedAge + time.Millisecond - 1))
 	}
 	for _, member := range message.Members {
@@ -58,8 +59,12 @@
 		Settled:      facts.GetSettled(),
 		Confirmed:    facts != nil && facts.ConfirmedAgeMilliseconds != nil,
 		ConfirmedAge: duration(facts.GetConfirmedAgeMilliseconds()),
+		ConfirmedBy:  ebonyworks.HostID(facts.GetConfirmedBy()),
 		Full:         facts.GetFull(),
 	}
+	if len(message.ConfirmedBy) > MaxNameBytes {
+		return ebonyworks.Exchange{}, errors.Wrap(ErrName, "confirming host")
+	}
 	var err error
 	if message.From, err = DecodeHost(facts.GetFrom()); err != nil {
 		return ebonyworks.Exchange{}, errors.Wrap(err, "sender")
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -52,7 +52,7 @@
 	message := ebonyworks.Exchange{
 		From:    host,
 		Mark:    ebonyworks.Mark{Revision: 7, Digest: ebonyworks.Digest{1, 2, 3}},
-		Settled: true, Confirmed: true, ConfirmedAge: 1500 * time.Millisecond, Full: true,
+		Settled: true, Confirmed: true, ConfirmedAge: 1500 * time.Millisecond, ConfirmedBy: "entry-5", Full: true,
 		Members: []ebonyworks.Member{
 			{Host: host, Round: 3, State: ebonyworks.MemberAlive},
 			{Host: ebonyworks.Host{ID: "entry-2"}, State: ebonyworks.MemberSuspect},
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -3,7 +3,9 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -174,6 +176,30 @@
 	return known.member, true
 }
 
+// At returns the id of the member at the address, or an empty id. If several
+// were there, it is the one whose state is best.
+func (r *Roster) At(address netip.AddrPort) ebonyworks.HostID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best ebonyworks.Member
+	for _, known := range r.members {
+		if known.member.Host.Address != address {
+			continue
+		}
+		if best.Host.ID == "" || known.member.State < best.State {
+			best = known.member
+		}
+	}
+	return best.Host.ID
+}
+
+// Size returns the number of hosts that are known, this one included.
+func (r *Roster) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.members) + 1
+}
+
 // Members returns all members but this host, ordered by id.
 func (r *Roster) Members() []ebonyworks.Member {
 	r.mu.Lock()
@@ -248,7 +274,7 @@
 		r.replaced = true
 		return Change{Replaced: true}
 	}
-	if order(fact, *self) <= 0 {
+	if order(fact, *self) <= 0 || fact.Round == math.MaxUint64 {
 		return Change{}
 	}
 	// Nobody else may know more about this incarnation than the host itself.
