--- /dev/null
+++ b/coordination/search/attempt.go
@@ -0,0 +1,135 @@
+package search
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// attempt is one try of one shard at one server.
+type attempt struct {
+	run         *run
+	shard       shardPlan
+	server      ebonyworks.Server
+	incarnation ebonyworks.Incarnation
+	hedge       bool
+	retry       bool
+}
+
+// do waits for a permit, sends the sub-search, checks the reply and passes on
+// what the attempt taught.
+func (a attempt) do(ctx context.Context) (shardResult, ebonyworks.AttemptRecord) {
+	coordinator := a.run.coordinator
+	record := ebonyworks.AttemptRecord{
+		Service: a.shard.service.ID,
+		Server:  a.server.ID,
+		Result:  ebonyworks.AttemptCancelled,
+		Hedge:   a.hedge,
+		Retry:   a.retry,
+	}
+	permit, ok := coordinator.Quota.Acquire(ctx, a.shard.service, a.server.ID)
+	if !ok {
+		return a.miss(ebonyworks.MissTimeout), record
+	}
+	ctx, span := a.span(ctx)
+	defer span.End()
+	start := time.Now()
+	answer := coordinator.Backend.Search(ctx, a.shard.service, a.server, a.subSearch())
+	answer.Result = a.check(answer)
+	record.Result = answer.Result
+	record.Latency = time.Since(start)
+	record.Report = answer.Report
+	permit.Release(record)
+	a.learn(record)
+	span.SetAttributes(
+		attribute.Int("result", int(record.Result)),
+		attribute.Bool("winner", record.Result == ebonyworks.AttemptServed),
+	)
+	if record.Result != ebonyworks.AttemptServed {
+		return a.miss(missReason(record.Result)), record
+	}
+	a.run.prove()
+	return shardResult{shard: a.shard.shard.ID, covered: true, rows: answer.Rows}, record
+}
+
+func (a attempt) span(ctx context.Context) (context.Context, trace.Span) {
+	return a.run.coordinator.tracer().Start(ctx, "attempt", trace.WithAttributes(
+		attribute.String("shard", string(a.shard.shard.ID)),
+		attribute.String("server", string(a.server.ID)),
+		attribute.Bool("hedge", a.hedge),
+		attribute.Bool("retry", a.retry),
+	))
+}
+
+func (a attempt) subSearch() ebonyworks.SubSearch {
+	return ebonyworks.SubSearch{
+		Request:   a.run.request.search.Request,
+		Catalogue: a.run.request.route.Catalogue,
+		Snapshot:  a.run.plan.snapshot,
+		Shard:     a.shard.shard.ID,
+		Filters:   a.run.request.search.Filters,
+		Keys:      a.run.request.search.Keys,
+	}
+}
+
+// check turns a reply into AttemptInvalid unless it is for this request,
+// snapshot and shard, and its rows belong to the shard and the searched keys.
+func (a attempt) check(answer ebonyworks.SubAnswer) ebonyworks.AttemptResult {
+	if answer.Result != ebonyworks.AttemptServed {
+		return answer.Result
+	}
+	matches := answer.Request == a.run.request.search.Request &&
+		answer.Snapshot == a.run.plan.snapshot &&
+		answer.Shard == a.shard.shard.ID
+	if !matches {
+		return ebonyworks.AttemptInvalid
+	}
+	for _, row := range answer.Rows {
+		if !a.shard.shard.Keys.Contains(row.Key) || !a.run.request.search.Keys.Contains(row.Key) {
+			return ebonyworks.AttemptInvalid
+		}
+	}
+	return ebonyworks.AttemptServed
+}
+
+func (a attempt) learn(record ebonyworks.AttemptRecord) {
+	coordinator := a.run.coordinator
+	coordinator.Directory.Observe(record)
+	coordinator.Catalogue.Observe(record.Report)
+	coordinator.Hedging.Observe(record)
+	if coordinator.Observer != nil {
+		coordinator.Observer.AttemptEnded(record)
+	}
+	switch record.Result {
+	case ebonyworks.AttemptLost:
+		coordinator.Inspection.Died(a.run.request.fingerprint, a.server.ID, a.incarnation)
+	case ebonyworks.AttemptSnapshotGone:
+		coordinator.Catalogue.Dropped(a.server.ID, a.run.plan.snapshot)
+	default:
+	}
+}
+
+func (a attempt) miss(reason ebonyworks.MissReason) shardResult {
+	return shardResult{shard: a.shard.shard.ID, reason: reason}
+}
+
+func missReason(result ebonyworks.AttemptResult) ebonyworks.MissReason {
+	switch result {
+	case ebonyworks.AttemptShed:
+		return ebonyworks.MissShed
+	case ebonyworks.AttemptSnapshotGone:
+		return ebonyworks.MissSnapshotGone
+	case ebonyworks.AttemptDraining, ebonyworks.AttemptUnreachable:
+		return ebonyworks.MissNoServer
+	case ebonyworks.AttemptInvalid, ebonyworks.AttemptRejected:
+		return ebonyworks.MissInvalidReply
+	case ebonyworks.AttemptLost:
+		return ebonyworks.MissServerLost
+	default:
+		return ebonyworks.MissTimeout
+	}
+}
--- /dev/null
+++ b/coordination/search/shard.go
@@ -0,0 +1,170 @@
+package search
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/state/catalogue"
+)
+
+// retryAfterShed is when servers that shed load have usually worked off their
+// queues.
+const retryAfterShed = 250 * time.Millisecond
+
+// shardRun collects the attempts at one shard.
+type shardRun struct {
+	run     *run
+	shard   shardPlan
+	results chan attemptEnd
+	// asked are the servers that got an attempt, in order.
+	asked    []ebonyworks.ServerID
+	inFlight int
+	reason   ebonyworks.MissReason
+	// waiting is set once the shard has waited for proof from other shards.
+	waiting bool
+}
+
+type attemptEnd struct {
+	result shardResult
+	record ebonyworks.AttemptRecord
+}
+
+// shard runs attempts until one is valid, none is left, or the context ends.
+func (r *run) shard(ctx context.Context, shard shardPlan) shardResult {
+	// The cancellation reaches the losing attempts.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &shardRun{
+		run:     r,
+		shard:   shard,
+		results: make(chan attemptEnd, len(shard.service.Servers)+1),
+		reason:  ebonyworks.MissNoServer,
+	}
+	defer s.ended()
+	if !s.start(ctx, false, false) {
+		return s.missed()
+	}
+	return s.collect(ctx)
+}
+
+// ended counts the shard as one that can't prove the request safe any more,
+// unless it already waits for the proof itself.
+func (s *shardRun) ended() {
+	if !s.waiting {
+		s.run.withdrawProof()
+	}
+}
+
+func (s *shardRun) collect(ctx context.Context) shardResult {
+	hedge := time.NewTimer(s.run.coordinator.Hedging.Delay(s.shard.service.ID))
+	defer hedge.Stop()
+	for s.inFlight > 0 {
+		select {
+		case end := <-s.results:
+			s.inFlight--
+			if end.result.covered {
+				return end.result
+			}
+			s.reason = end.result.reason
+			s.retry(ctx, end.record)
+		case <-hedge.C:
+			s.hedge(ctx)
+		case <-ctx.Done():
+			s.reason = ebonyworks.MissTimeout
+			return s.missed()
+		}
+	}
+	return s.missed()
+}
+
+// hedge starts a second attempt if the budget allows it.
+func (s *shardRun) hedge(ctx context.Context) {
+	if len(s.remaining()) == 0 {
+		return
+	}
+	if s.run.coordinator.Hedging.AllowHedge(s.shard.service.ID) {
+		s.start(ctx, true, false)
+	}
+}
+
+// retry starts another attempt after a failed one if nothing else is in flight.
+func (s *shardRun) retry(ctx context.Context, failed ebonyworks.AttemptRecord) {
+	if s.inFlight > 0 || ctx.Err() != nil || len(s.remaining()) == 0 {
+		return
+	}
+	if failed.Result == ebonyworks.AttemptLost && !s.provenSafe(ctx) {
+		return
+	}
+	if s.run.coordinator.Hedging.AllowRetry(s.shard.service.ID) {
+		s.start(ctx, false, true)
+	}
+}
+
+// provenSafe reports whether the request may be retried after its server died.
+// It waits until another server has completed the request, or until no server
+// is left that could. A request whose server died under it is never retried
+// without that proof, since it could be what crashed the server.
+func (s *shardRun) provenSafe(ctx context.Context) bool {
+	inspection := s.run.coordinator.Inspection
+	if verdict, _ := inspection.Inspect(s.run.request.fingerprint); verdict == ebonyworks.RunAll {
+		return true
+	}
+	s.ended()
+	s.waiting = true
+	select {
+	case <-s.run.proven:
+		inspection.Survived(s.run.request.fingerprint)
+		return true
+	case <-s.run.hopeless:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// start runs an attempt at the selected server, and returns false if none is left.
+func (s *shardRun) start(ctx context.Context, hedge, retry bool) bool {
+	candidates := s.remaining()
+	index, ok := s.run.coordinator.Selection.Select(candidates)
+	if !ok {
+		return false
+	}
+	candidate := candidates[index]
+	s.asked = append(s.asked, candidate.Server.ID)
+	s.inFlight++
+	attempt := attempt{
+		run:         s.run,
+		shard:       s.shard,
+		server:      candidate.Server,
+		incarnation: candidate.Incarnation,
+		hedge:       hedge,
+		retry:       retry,
+	}
+	go func() {
+		result, record := attempt.do(ctx)
+		s.results <- attemptEnd{result: result, record: record}
+	}()
+	return true
+}
+
+func (s *shardRun) remaining() []ebonyworks.Candidate {
+	return s.run.candidates(s.shard, s.asked)
+}
+
+func (s *shardRun) missed() shardResult {
+	return shardResult{shard: s.shard.shard.ID, reason: s.reason}
+}
+
+// candidates returns the usable servers that weren't asked and aren't known to
+// lack the snapshot.
+func (r *run) candidates(shard shardPlan, asked []ebonyworks.ServerID) []ebonyworks.Candidate {
+	all := r.coordinator.Directory.Candidates(shard.service, r.request.route)
+	return slices.DeleteFunc(all, func(candidate ebonyworks.Candidate) bool {
+		if slices.Contains(asked, candidate.Server.ID) {
+			return true
+		}
+		return r.coordinator.Catalogue.Holds(candidate.Server.ID, r.plan.snapshot) == catalogue.Missing
+	})
+}
--- a/policy.go
+++ b/policy.go
@@ -9,6 +9,9 @@
 // about it.
 type Candidate struct {
 	Server Server
+	// Incarnation is the life of the server that this host last heard from, zero
+	// if it heard from none.
+	Incarnation Incarnation
 	// Near is set if the server is in the host's own failure domain.
 	Near bool
 	// InFlight is the number of attempts of this host at the server.
@@ -115,3 +118,14 @@
 	// Survived records that a server completed the request.
 	Survived(fingerprint Fingerprint)
 }
+
+// Observer receives measurements. Implementations don't block.
+type Observer interface {
+	// AttemptEnded is called once for each attempt at a server.
+	AttemptEnded(record AttemptRecord)
+	// SearchEnded is called once for each search.
+	SearchEnded(route RouteID, outcome SearchOutcome, elapsed time.Duration)
+	// ReservationEnded is called once for each reservation that this host
+	// answered.
+	ReservationEnded(route RouteID, outcome Outcome, elapsed time.Duration)
+}
--- /dev/null
+++ b/transport/counter/health.go
@@ -0,0 +1,29 @@
+package counter
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+// handleHealth answers as long as the process serves requests at all.
+func (c *Counter) handleHealth(ctx echo.Context) error {
+	return ctx.String(http.StatusOK, "ok\n")
+}
+
+// handleReadiness tells the load balancer whether to send requests.
+func (c *Counter) handleReadiness(ctx echo.Context) error {
+	ready, reasons := c.Status.Ready()
+	reply, err := order.EncodeReadiness(ready, reasons)
+	if err != nil {
+		return errors.Wrap(err, "encode readiness")
+	}
+	status := http.StatusOK
+	if !ready {
+		status = http.StatusServiceUnavailable
+	}
+	return ctx.JSONBlob(status, reply)
+}
--- /dev/null
+++ b/transport/counter/outcome.go
@@ -0,0 +1,10 @@
+package counter
+
+import (
+	"github.com/labstack/echo/v4"
+)
+
+func (c *Counter) handleOutcome(ctx echo.Context) error {
+	outcome := c.Reserver.Outcome(ctx.Request().Context(), ctx.Param("ticket"))
+	return writeOutcome(ctx, "", outcome)
+}
--- /dev/null
+++ b/transport/counter/reservation.go
@@ -0,0 +1,44 @@
+package counter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+func (c *Counter) handleReservation(ctx echo.Context) error {
+	start := time.Now()
+	body, refusal := c.body(ctx)
+	if refusal != nil {
+		return refuse(ctx, *refusal)
+	}
+	reservation, timeout, err := order.DecodeReservation(body)
+	if err != nil {
+		return refuse(ctx, invalidRequest(err))
+	}
+	reservation.Deadline, refusal = c.deadline(start, reservation.Route, timeout)
+	if refusal != nil {
+		return refuse(ctx, *refusal)
+	}
+	reservation.Request = requestID()
+	outcome := c.Reserver.Reserve(ctx.Request().Context(), reservation)
+	return writeOutcome(ctx, reservation.Request, outcome)
+}
+
+// writeOutcome answers every outcome with status 200: proxies resend requests
+// on some other statuses.
+func writeOutcome(ctx echo.Context, request ebonyworks.RequestID, outcome ebonyworks.Outcome) error {
+	if outcome.Refusal != nil {
+		return refuse(ctx, *outcome.Refusal)
+	}
+	reply, err := order.EncodeOutcome(request, outcome)
+	if err != nil {
+		return errors.Wrap(err, "encode outcome")
+	}
+	return ctx.JSONBlob(http.StatusOK, reply)
+}
--- /dev/null
+++ b/transport/counter/search.go
@@ -0,0 +1,37 @@
+package counter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+func (c *Counter) handleSearch(ctx echo.Context) error {
+	start := time.Now()
+	body, refusal := c.body(ctx)
+	if refusal != nil {
+		return refuse(ctx, *refusal)
+	}
+	search, timeout, err := order.DecodeSearch(body)
+	if err != nil {
+		return refuse(ctx, invalidRequest(err))
+	}
+	search.Deadline, refusal = c.deadline(start, search.Route, timeout)
+	if refusal != nil {
+		return refuse(ctx, *refusal)
+	}
+	search.Request = requestID()
+	outcome := c.Searcher.Search(ctx.Request().Context(), search)
+	if outcome.Refusal != nil {
+		return refuse(ctx, *outcome.Refusal)
+	}
+	reply, err := order.EncodeAnswer(outcome.Answer)
+	if err != nil {
+		return errors.Wrap(err, "encode answer")
+	}
+	return ctx.JSONBlob(http.StatusOK, reply)
+}
--- /dev/null
+++ b/transport/counter/status.go
@@ -0,0 +1,18 @@
+package counter
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+func (c *Counter) handleStatus(ctx echo.Context) error {
+	reply, err := order.EncodeStatus(c.Status.Status())
+	if err != nil {
+		return errors.Wrap(err, "encode status")
+	}
+	return ctx.JSONBlob(http.StatusOK, reply)
+}
--- /dev/null
+++ b/transport/counter/ticket.go
@@ -0,0 +1,23 @@
+package counter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+func (c *Counter) handleTicket(ctx echo.Context) error {
+	ticket, claims, refusal := c.Reserver.IssueTicket(ctx.Request().Context())
+	if refusal != nil {
+		return refuse(ctx, *refusal)
+	}
+	reply, err := order.EncodeTicket(ticket, time.Until(claims.Expiry))
+	if err != nil {
+		return errors.Wrap(err, "encode ticket")
+	}
+	return ctx.JSONBlob(http.StatusOK, reply)
+}
