--- /dev/null
+++ b/coordination/search/search_test.go
@@ -0,0 +1,277 @@
+package search_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	// defaultSchedules are the random fault schedules of a normal test run;
+	// EBONYWORKS_SCHEDULES sets another number.
+	defaultSchedules = 1000
+	services         = 4
+)
+
+func snapshot(number ebonyworks.SnapshotNumber, epoch ebonyworks.PartitionEpoch) ebonyworks.Snapshot {
+	return ebonyworks.Snapshot{Number: number, Epoch: epoch}
+}
+
+func ask(w *world, route ebonyworks.RouteID, timeout time.Duration) ebonyworks.SearchOutcome {
+	request := ebonyworks.Search{Request: "r1", Route: route, House: "h", Deadline: time.Now().Add(timeout)}
+	return w.coordinator().Search(context.Background(), request)
+}
+
+// checkTrue compares an answer with the true contents of its snapshot.
+func checkTrue(t require.TestingT, w *world, request ebonyworks.RequestID, answer ebonyworks.Answer) {
+	require.Equal(t, request, answer.Request)
+	partition, ok := w.configuration.Catalogues[0].Partition(answer.Snapshot.Epoch)
+	require.True(t, ok)
+	var listed []ebonyworks.ShardID
+	listed = append(listed, answer.Coverage.Covered...)
+	for _, miss := range answer.Coverage.Missed {
+		listed = append(listed, miss.Shard)
+		require.NotEmpty(t, miss.Reason)
+	}
+	var needed []ebonyworks.ShardID
+	var rows []ebonyworks.Row
+	for _, shard := range partition.Shards {
+		needed = append(needed, shard.ID)
+		if slices.Contains(answer.Coverage.Covered, shard.ID) {
+			rows = append(rows, truth(answer.Snapshot, shard.Keys)...)
+		}
+	}
+	require.ElementsMatch(t, needed, listed, "each shard of the partition is listed once")
+	require.Equal(t, rows, answer.Rows)
+}
+
+// Guards against each way in which a faulty reply could enter an answer, cost a
+// shard that a second replica has, or be hidden from the coverage.
+func TestSingleFaults(t *testing.T) {
+	for planned := noFault; planned < faultCount; planned++ {
+		for _, everywhere := range []bool{false, true} {
+			t.Run(fmt.Sprintf("fault %d everywhere %v", planned, everywhere), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(services, 1)
+					w.reportAll(snapshot(3, 1))
+					w.plan = func(server ebonyworks.ServerID, _ ebonyworks.SubSearch) fault {
+						if server == "stock-finder-01a" || (everywhere && server == "stock-finder-01b") {
+							return planned
+						}
+						return noFault
+					}
+					outcome := ask(w, routeID, 400*time.Millisecond)
+					require.Nil(t, outcome.Refusal)
+					checkTrue(t, w, "r1", outcome.Answer)
+					survives := !everywhere || planned == noFault || planned == slow
+					assert.Equal(t, survives, outcome.Answer.Coverage.Complete())
+				})
+			})
+		}
+	}
+}
+
+// Guards against answers that wait for the deadline although nothing can come.
+func TestHopelessShardDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(services, 1)
+		w.reportAll(snapshot(3, 1))
+		w.plan = func(ebonyworks.ServerID, ebonyworks.SubSearch) fault { return lost }
+		start := time.Now()
+		outcome := ask(w, routeID, time.Minute)
+		require.Nil(t, outcome.Refusal)
+		assert.Len(t, outcome.Answer.Coverage.Missed, services)
+		assert.Less(t, time.Since(start), time.Second)
+		assert.Len(t, w.attempts, services, "a request is not retried without proof that it is safe")
+	})
+}
+
+// Guards against a crash-causing request that is fanned out before one server
+// has completed it.
+func TestUnknownRequestRunsOnOneServerFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(services, 1)
+		w.reportAll(snapshot(3, 1))
+		w.verdict = ebonyworks.RunOne
+		w.plan = func(ebonyworks.ServerID, ebonyworks.SubSearch) fault { return lost }
+		outcome := ask(w, routeID, time.Minute)
+		require.NotNil(t, outcome.Refusal)
+		assert.Equal(t, ebonyworks.RefusedCrashSuspect, outcome.Refusal.Code)
+		assert.True(t, outcome.Refusal.Ran)
+		assert.Len(t, w.attempts, 2)
+		w.plan = func(ebonyworks.ServerID, ebonyworks.SubSearch) fault { return noFault }
+		w.deaths = 0
+		outcome = ask(w, routeID, time.Minute)
+		require.Nil(t, outcome.Refusal)
+		checkTrue(t, w, "r1", outcome.Answer)
+		assert.Len(t, w.attempts, 2+services, "the reply of the first server is used")
+	})
+}
+
+// Guards against a wrong choice among snapshots that servers hold in part.
+func TestSnapshotChoice(t *testing.T) {
+	type holding struct {
+		server    ebonyworks.ServerID
+		snapshots []ebonyworks.Snapshot
+	}
+	cases := []struct {
+		name    string
+		route   ebonyworks.RouteID
+		base    []ebonyworks.Snapshot
+		changes []holding
+		want    ebonyworks.Snapshot
+		missed  int
+	}{
+		{name: "newest", route: routeID, base: []ebonyworks.Snapshot{snapshot(1, 1), snapshot(2, 1)}, want: snapshot(2, 1)},
+		{name: "replica without the newest", route: routeID, base: []ebonyworks.Snapshot{snapshot(1, 1), snapshot(2, 1)},
+			changes: []holding{{"stock-finder-00a", []ebonyworks.Snapshot{snapshot(1, 1), snapshot(3, 1)}}},
+			want:    snapshot(1, 1)},
+		{name: "unknown partition", route: routeID, base: []ebonyworks.Snapshot{snapshot(1, 1), snapshot(2, 9)}, want: snapshot(1, 1)},
+		{name: "next partition", route: routeID, base: []ebonyworks.Snapshot{snapshot(1, 1), snapshot(2, 2)}, want: snapshot(2, 2)},
+		{name: "coverage takes the older", route: routeID, base: []ebonyworks.Snapshot{snapshot(2, 1)},
+			changes: []holding{
+				{"stock-finder-00a", []ebonyworks.Snapshot{snapshot(3, 1)}},
+				{"stock-finder-00b", []ebonyworks.Snapshot{snapshot(3, 1)}},
+			}, want: snapshot(2, 1), missed: 1},
+		{name: "latency takes the newest that most have", route: "search-fast", base: []ebonyworks.Snapshot{snapshot(2, 1), snapshot(3, 1)},
+			changes: []holding{
+				{"stock-finder-00a", []ebonyworks.Snapshot{snapshot(2, 1), snapshot(4, 1)}},
+				{"stock-finder-00b", []ebonyworks.Snapshot{snapshot(4, 1)}},
+				{"stock-finder-01a", []ebonyworks.Snapshot{snapshot(4, 1)}},
+				{"stock-finder-01b", []ebonyworks.Snapshot{snapshot(4, 1)}},
+				{"stock-finder-02a", []ebonyworks.Snapshot{snapshot(4, 1)}},
+			}, want: snapshot(4, 1), missed: 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(services, 1)
+				w.reportAll(tc.base...)
+				for _, change := range tc.changes {
+					w.report(change.server, change.snapshots...)
+				}
+				outcome := ask(w, tc.route, time.Second)
+				require.Nil(t, outcome.Refusal)
+				checkTrue(t, w, "r1", outcome.Answer)
+				assert.Equal(t, tc.want, outcome.Answer.Snapshot)
+				assert.Len(t, outcome.Answer.Coverage.Missed, tc.missed)
+			})
+		})
+	}
+}
+
+// Guards against an answer that mixes snapshots when servers drop one while the
+// search runs: the whole search starts again on another.
+func TestRestartsWhenSnapshotIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(services, 1)
+		w.reportAll(snapshot(2, 1), snapshot(3, 2))
+		w.plan = func(server ebonyworks.ServerID, sub ebonyworks.SubSearch) fault {
+			if sub.Snapshot.Number == 3 && (server == "stock-finder-02a" || server == "stock-finder-02b") {
+				return gone
+			}
+			return noFault
+		}
+		outcome := ask(w, routeID, time.Second)
+		require.Nil(t, outcome.Refusal)
+		checkTrue(t, w, "r1", outcome.Answer)
+		assert.Equal(t, snapshot(2, 1), outcome.Answer.Snapshot)
+		assert.True(t, outcome.Answer.Coverage.Complete())
+	})
+}
+
+// Guards against waiting past the deadline when servers hang.
+func TestSealsAtDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(services, 1)
+		w.reportAll(snapshot(3, 1))
+		w.plan = func(server ebonyworks.ServerID, _ ebonyworks.SubSearch) fault {
+			if server[:15] == "stock-finder-01" {
+				return hang
+			}
+			return noFault
+		}
+		start := time.Now()
+		outcome := ask(w, routeID, 100*time.Millisecond)
+		require.Nil(t, outcome.Refusal)
+		checkTrue(t, w, "r1", outcome.Answer)
+		assert.LessOrEqual(t, time.Since(start), 100*time.Millisecond)
+		assert.Equal(t, []ebonyworks.Miss{{Shard: "s01", Reason: ebonyworks.MissTimeout}}, outcome.Answer.Coverage.Missed)
+	})
+}
+
+// Guards against mixed answers, false coverage and answers to the wrong caller
+// under random combinations of faults, with searches that overlap in time.
+func TestRandomFaultSchedules(t *testing.T) {
+	schedules := defaultSchedules
+	if text := os.Getenv("EBONYWORKS_SCHEDULES"); text != "" {
+		parsed, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		schedules = parsed
+	}
+	seed := uint64(time.Now().UnixNano())
+	if text := os.Getenv("EBONYWORKS_SEED"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		seed = parsed
+	}
+	t.Logf("EBONYWORKS_SEED=%d EBONYWORKS_SCHEDULES=%d", seed, schedules)
+	for i := range schedules {
+		synctest.Test(t, func(t *testing.T) { randomSchedule(t, seed+uint64(i)) })
+	}
+}
+
+func randomSchedule(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	w := newWorld(services, seed)
+	w.reportAll(snapshot(1, 1))
+	rate := random.IntN(100)
+	if random.IntN(2) == 0 {
+		w.verdict = ebonyworks.RunOne
+	}
+	w.plan = func(ebonyworks.ServerID, ebonyworks.SubSearch) fault {
+		if w.random.IntN(100) >= rate {
+			return noFault
+		}
+		return fault(w.random.IntN(int(faultCount)))
+	}
+	for _, service := range w.configuration.Catalogues[0].Services {
+		for _, server := range service.Servers {
+			first := ebonyworks.SnapshotNumber(1 + random.IntN(3))
+			held := []ebonyworks.Snapshot{snapshot(first, 1), snapshot(first+1, 1+ebonyworks.PartitionEpoch(random.IntN(2)))}
+			w.report(server.ID, held...)
+		}
+	}
+	coordinator := w.coordinator()
+	type answered struct {
+		request ebonyworks.RequestID
+		outcome ebonyworks.SearchOutcome
+	}
+	const callers = 3
+	answers := make(chan answered, callers)
+	for caller := range callers {
+		request := ebonyworks.Search{
+			Request:  ebonyworks.RequestID(fmt.Sprintf("r%d", caller)),
+			Route:    []ebonyworks.RouteID{routeID, "search-fast"}[random.IntN(2)],
+			Deadline: time.Now().Add(time.Duration(5+random.IntN(200)) * time.Millisecond),
+		}
+		go func() { answers <- answered{request.Request, coordinator.Search(context.Background(), request)} }()
+	}
+	for range callers {
+		answer := <-answers
+		if answer.outcome.Refusal == nil {
+			checkTrue(t, w, answer.request, answer.outcome.Answer)
+		}
+	}
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,164 @@
+// Package telemetry exports the metrics and traces of a process.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlpmetric/otlpmetrichttp"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	scope = "github.com/ebonyworks/ebonyworks"
+	// pushInterval is the time between two pushes of metrics over OTLP.
+	pushInterval = 10 * time.Second
+)
+
+// Options select what is exported and where to. The zero value offers metrics
+// for scraping and drops traces.
+type Options struct {
+	Process string
+	Host    ebonyworks.HostID
+	// TraceWriter receives spans as JSON lines if it is set.
+	TraceWriter io.Writer
+	// Endpoint is the URL of an OTLP collector for traces and metrics.
+	Endpoint string
+	// SampleRatio is the share of traces that are kept, from 0 to 1.
+	SampleRatio float64
+}
+
+// Telemetry exports metrics and traces. It implements ebonyworks.Observer.
+type Telemetry struct {
+	registry *prometheus.Registry
+	meters   *sdkmetric.MeterProvider
+	traces   *sdktrace.TracerProvider
+
+	attempts       metric.Int64Counter
+	attemptLatency metric.Float64Histogram
+	searches       metric.Int64Counter
+	searchLatency  metric.Float64Histogram
+	missedShards   metric.Int64Counter
+	reservations   metric.Int64Counter
+}
+
+var _ ebonyworks.Observer = (*Telemetry)(nil)
+
+// New starts the exporters. It fails if an exporter can't be configured; a
+// collector that is down is not an error.
+func New(ctx context.Context, options Options) (*Telemetry, error) {
+	identity := resource.NewSchemaless(
+		attribute.String("service.name", options.Process),
+		attribute.String("service.instance.id", string(options.Host)),
+	)
+	t := &Telemetry{registry: prometheus.NewRegistry()}
+	if err := t.startMetrics(ctx, options, identity); err != nil {
+		return nil, err
+	}
+	if err := t.startTraces(ctx, options, identity); err != nil {
+		return nil, err
+	}
+	return t, t.createInstruments()
+}
+
+func (t *Telemetry) startMetrics(ctx context.Context, options Options, identity *resource.Resource) error {
+	scrape, err := exporter.New(exporter.WithRegisterer(t.registry))
+	if err != nil {
+		return errors.Wrap(err, "create the metrics exporter")
+	}
+	providerOptions := []sdkmetric.Option{sdkmetric.WithReader(scrape), sdkmetric.WithResource(identity)}
+	if options.Endpoint != "" {
+		push, err := otlpmetrichttp.New(ctx, otlpmetrichttp.WithEndpointURL(options.Endpoint+"/v1/metrics"))
+		if err != nil {
+			return errors.Wrap(err, "create the OTLP metrics exporter")
+		}
+		reader := sdkmetric.NewPeriodicReader(push, sdkmetric.WithInterval(pushInterval))
+		providerOptions = append(providerOptions, sdkmetric.WithReader(reader))
+	}
+	t.meters = sdkmetric.NewMeterProvider(providerOptions...)
+	return nil
+}
+
+func (t *Telemetry) startTraces(ctx context.Context, options Options, identity *resource.Resource) error {
+	sampler := sdktrace.ParentBased(sdktrace.TraceIDRatioBased(options.SampleRatio))
+	providerOptions := []sdktrace.TracerProviderOption{sdktrace.WithResource(identity), sdktrace.WithSampler(sampler)}
+	if options.TraceWriter != nil {
+		spans, err := stdouttrace.New(stdouttrace.WithWriter(options.TraceWriter))
+		if err != nil {
+			return errors.Wrap(err, "create the trace writer")
+		}
+		providerOptions = append(providerOptions, sdktrace.WithBatcher(spans))
+	}
+	if options.Endpoint != "" {
+		spans, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(options.Endpoint+"/v1/traces"))
+		if err != nil {
+			return errors.Wrap(err, "create the OTLP trace exporter")
+		}
+		providerOptions = append(providerOptions, sdktrace.WithBatcher(spans))
+	}
+	t.traces = sdktrace.NewTracerProvider(providerOptions...)
+	return nil
+}
+
+func (t *Telemetry) createInstruments() error {
+	meter := t.meters.Meter(scope)
+	var failures [6]error
+	t.attempts, failures[0] = meter.Int64Counter("ebonyworks.attempts",
+		metric.WithDescription("Attempts at backend servers by service, result and kind."))
+	t.attemptLatency, failures[1] = meter.Float64Histogram("ebonyworks.attempt.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time from sending to the end of an attempt."),
+		metric.WithExplicitBucketBoundaries(buckets()...))
+	t.searches, failures[2] = meter.Int64Counter("ebonyworks.searches",
+		metric.WithDescription("Searches by route and outcome: complete, partial or the code of the refusal."))
+	t.searchLatency, failures[3] = meter.Float64Histogram("ebonyworks.search.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time to answer a search."),
+		metric.WithExplicitBucketBoundaries(buckets()...))
+	t.missedShards, failures[4] = meter.Int64Counter("ebonyworks.missed_shards",
+		metric.WithDescription("Shards that answers missed, by route and reason."))
+	t.reservations, failures[5] = meter.Int64Counter("ebonyworks.reservations",
+		metric.WithDescription("Reservations by route, outcome and code."))
+	if err := errors.Join(failures[:]...); err != nil {
+		return errors.Wrap(err, "create instruments")
+	}
+	return nil
+}
+
+// buckets are upper bounds in seconds.
+func buckets() []float64 {
+	return []float64{0.001, 0.002, 0.004, 0.006, 0.008, 0.012, 0.016, 0.024, 0.032, 0.048, 0.064, 0.1, 0.15, 0.25, 0.5, 1, 2}
+}
+
+// Tracer returns the tracer for spans.
+func (t *Telemetry) Tracer() trace.Tracer {
+	return t.traces.Tracer(scope)
+}
+
+// Meter returns the meter for further instruments.
+func (t *Telemetry) Meter() metric.Meter {
+	return t.meters.Meter(scope)
+}
+
+// MetricsHandler serves the metrics for scraping.
+func (t *Telemetry) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown sends what is buffered.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	return errors.Join(t.traces.Shutdown(ctx), t.meters.Shutdown(ctx))
+}
