--- /dev/null
+++ b/protocol/order/order_test.go
@@ -0,0 +1,128 @@
+package order_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+// Guards against malformed requests that are accepted, and against errors that
+// don't name the mistake.
+func TestInvalidSearches(t *testing.T) {
+	cases := []struct{ name, body, message string }{
+		{"empty body", ``, "complete JSON"},
+		{"cut off", `{"Route":"r"`, "complete JSON"},
+		{"not an object", `[]`, "cannot unmarshal"},
+		{"unknown field", `{"Route":"r","House":"h","Color":1}`, "Color"},
+		{"trailing data", `{"Route":"r","House":"h"} {}`, "after the JSON object"},
+		{"invalid UTF-8", "{\"Route\":\"\xff\",\"House\":\"h\"}", "UTF-8"},
+		{"no route", `{"House":"h"}`, "Route: is required"},
+		{"no house", `{"Route":"r"}`, "House: is required"},
+		{"long house", `{"Route":"r","House":"` + strings.Repeat("h", 1025) + `"}`, "House: is longer"},
+		{"unnamed filter", `{"Route":"r","House":"h","Filters":[{"Value":"x"}]}`, "Filters.Name: is required"},
+		{"too many filters", `{"Route":"r","House":"h","Filters":[` + strings.Repeat(`{"Name":"n"},`, 64) + `{"Name":"n"}]}`, "more than 64"},
+		{"timeout without unit", `{"Route":"r","House":"h","Timeout":"5"}`, "Timeout: must be a duration"},
+		{"negative timeout", `{"Route":"r","House":"h","Timeout":"-5ms"}`, "Timeout: must be positive"},
+		{"timeout as number", `{"Route":"r","House":"h","Timeout":5}`, "Timeout"},
+		{"empty range", `{"Route":"r","House":"h","Keys":{"From":"b","To":"a"}}`, "Keys: From must be less"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, _, err := order.DecodeSearch([]byte(tc.body))
+			assert.ErrorContains(t, err, tc.message)
+		})
+	}
+}
+
+// Guards against reservations that lack what makes them run at most once.
+func TestInvalidReservations(t *testing.T) {
+	full := `{"Ticket":"t","Route":"r","House":"h","Key":"k"}`
+	_, _, err := order.DecodeReservation([]byte(full))
+	require.NoError(t, err)
+	for _, field := range []string{"Ticket", "Route", "House", "Key"} {
+		without := strings.Replace(full, `"`+field+`":"`+strings.ToLower(field[:1])+`"`, `"`+field+`":""`, 1)
+		_, _, err := order.DecodeReservation([]byte(without))
+		assert.ErrorContains(t, err, field+": is required")
+	}
+}
+
+// Guards against equal searches that differ by the order of their filters.
+func TestFiltersAreOrdered(t *testing.T) {
+	first, _, err := order.DecodeSearch([]byte(`{"Route":"r","House":"h","Filters":[{"Name":"b","Value":"1"},{"Name":"a","Value":"2"}]}`))
+	require.NoError(t, err)
+	second, _, err := order.DecodeSearch([]byte(`{"Route":"r","House":"h","Filters":[{"Name":"a","Value":"2"},{"Name":"b","Value":"1"}]}`))
+	require.NoError(t, err)
+	assert.Equal(t, first, second)
+}
+
+// Guards against messages that lose a field between host and caller.
+func TestRoundTrips(t *testing.T) {
+	answer := ebonyworks.Answer{
+		Request:  "r",
+		Snapshot: ebonyworks.Snapshot{Number: 3, Epoch: 2},
+		Mark:     ebonyworks.Mark{Revision: 9, Digest: ebonyworks.Digest{1, 2}},
+		Stale:    true,
+		Rows:     []ebonyworks.Row{{Key: "k", Fields: []ebonyworks.Field{{Name: "Shade", Value: "7N"}}}},
+		Coverage: ebonyworks.Coverage{
+			Covered: []ebonyworks.ShardID{"s0"},
+			Missed:  []ebonyworks.Miss{{Shard: "s1", Reason: ebonyworks.MissShed}},
+		},
+	}
+	body, err := order.EncodeAnswer(answer)
+	require.NoError(t, err)
+	decodedAnswer, err := order.DecodeAnswer(body)
+	require.NoError(t, err)
+	assert.Equal(t, answer, decodedAnswer)
+
+	for _, kind := range []ebonyworks.OutcomeKind{ebonyworks.OutcomeUnknown, ebonyworks.OutcomeRan, ebonyworks.OutcomeNotRun} {
+		outcome := ebonyworks.Outcome{Kind: kind, Code: ebonyworks.CodeDone, Message: "m", RetryAfter: time.Second,
+			Result: []ebonyworks.Field{{Name: "n", Value: "v"}}}
+		body, err := order.EncodeOutcome("r", outcome)
+		require.NoError(t, err)
+		decoded, err := order.DecodeOutcome(body)
+		require.NoError(t, err)
+		assert.Equal(t, outcome, decoded)
+	}
+
+	refusal := ebonyworks.Refusal{Code: ebonyworks.RefusedOverload, Message: "m", RetryAfter: 250 * time.Millisecond, Ran: true}
+	body, err = order.EncodeRefusal(refusal)
+	require.NoError(t, err)
+	decodedRefusal, err := order.DecodeRefusal(body)
+	require.NoError(t, err)
+	assert.Equal(t, refusal, decodedRefusal)
+}
+
+// Guards against panics on arbitrary bodies, and against accepted searches that
+// change when they are sent on.
+func FuzzDecodeSearch(f *testing.F) {
+	f.Add([]byte(`{"Route":"r","House":"h","Filters":[{"Name":"a","Value":"2"}],"Keys":{"From":"a","To":"b"},"Timeout":"5ms"}`))
+	f.Add([]byte(`{`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		search, timeout, err := order.DecodeSearch(body)
+		if err != nil {
+			return
+		}
+		encoded, err := order.EncodeSearch(search, max(timeout.Truncate(time.Millisecond), time.Millisecond))
+		require.NoError(t, err)
+		again, _, err := order.DecodeSearch(encoded)
+		require.NoError(t, err)
+		assert.Equal(t, search, again)
+	})
+}
+
+// Guards against panics on arbitrary bodies of reservations.
+func FuzzDecodeReservation(f *testing.F) {
+	f.Add([]byte(`{"Ticket":"t","Route":"r","House":"h","Key":"k"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		reservation, _, err := order.DecodeReservation(body)
+		if err == nil {
+			assert.NotEmpty(t, reservation.Ticket)
+		}
+	})
+}
