--- /dev/null
+++ b/document/decode_test.go
@@ -0,0 +1,70 @@
+package document_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/document"
+)
+
+type item struct {
+	Name  string
+	Wait  document.Duration `json:",omitzero"`
+	Count int               `json:",omitempty"`
+}
+
+type list struct {
+	Items []item
+	Size  uint64 `json:",omitempty"`
+	On    bool   `json:",omitempty"`
+}
+
+// Guards against mistakes that pass unnoticed, and against a reader that stops
+// at the first one.
+func TestDecodeListsMistakes(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       []ebonyworks.Problem
+	}{
+		{"several", `{"Items": [{"Name": 1, "Wait": "6 ms"}, {"Count": 1.5, "name": ""}], "Size": -1, "On": null, "On": true}`, []ebonyworks.Problem{
+			{Place: "Items[0].Name", Message: "must be a string"},
+			{Place: "Items[0].Wait", Message: `must be a duration such as "6ms", not "6 ms"`},
+			{Place: "Items[1].Count", Message: "must be an integer of at most 64 bits"},
+			{Place: "Items[1].name", Message: "unknown field"},
+			{Place: "Items[1].Name", Message: "is missing"},
+			{Place: "Size", Message: "must be an integer from 0 of at most 64 bits"},
+			{Place: "On", Message: "must not be null"},
+			{Place: "On", Message: "appears twice"},
+		}},
+		{"kinds", `{"Items": {}, "Size": "1", "On": 0}`, []ebonyworks.Problem{
+			{Place: "Items", Message: "must be an array"},
+			{Place: "Size", Message: "must be an integer"},
+			{Place: "On", Message: "must be true or false"},
+		}},
+		{"not an object", `[]`, []ebonyworks.Problem{{Message: "must be an object"}}},
+		{"odd name", `{"Items": [], "a b": 1}`, []ebonyworks.Problem{{Place: `"a b"`, Message: "unknown field"}}},
+		{"syntax", "{\n \"Items\": hidden}", []ebonyworks.Problem{{Message: "malformed JSON at line 2, column 11"}}},
+		{"cut", `{"Items": [`, []ebonyworks.Problem{{Message: "unexpected end of the document at line 1, column 12"}}},
+		{"encoding", "{\"Items\": [\"\xff\"]}", []ebonyworks.Problem{{Message: "the document is not valid UTF-8"}}},
+		{"deep", strings.Repeat("[", 1<<20), []ebonyworks.Problem{{Message: "the document is nested more than 32 levels deep"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, test.want, document.Decode([]byte(test.text), &list{}))
+		})
+	}
+}
+
+// Guards against comments, escapes or brackets in strings that change a value.
+func TestDecode(t *testing.T) {
+	brackets := strings.Repeat("[{", 40)
+	text := "// head " + brackets + "\n{/* " + brackets + " */ \"Items\": [{\"Name\": \"" + brackets + "\\\"\", \"Wait\": \"1m\",},], \"On\": true}"
+	var got list
+	assert.Empty(t, document.Decode([]byte(text), &got))
+	want := list{Items: []item{{Name: brackets + `"`, Wait: document.Duration(time.Minute)}}, On: true}
+	assert.Equal(t, want, got)
+}
--- /dev/null
+++ b/operator/example_test.go
@@ -0,0 +1,39 @@
+package operator_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/operator"
+)
+
+func ExamplePlan() {
+	plan := &operator.Plan{}
+	plan.Catalogue(operator.CatalogueSpec{
+		ID:                "blocks",
+		Services:          2,
+		ServersPerService: 2,
+		Slots:             2,
+		ConnectionCap:     25,
+		ConnectTime:       6 * time.Millisecond,
+		Domains:           []ebonyworks.DomainID{"Heredia", "Cartago"},
+	})
+	plan.Route(ebonyworks.Route{
+		ID:              "search-blocks",
+		Catalogue:       "blocks",
+		DefaultDeadline: 250 * time.Millisecond,
+		MaxDeadline:     time.Second,
+	})
+	publication, problems := plan.Publish(1, ebonyworks.Mark{})
+	for _, problem := range problems {
+		fmt.Println(problem.Place, problem.Message)
+	}
+	for _, value := range publication.Values() {
+		fmt.Println(value.Key)
+	}
+	// Output:
+	// Configuration/Parts/Catalogue/blocks
+	// Configuration/Parts/Routes
+	// Configuration/Head
+}
--- /dev/null
+++ b/protocol/notice/codec.go
@@ -0,0 +1,275 @@
+// Package notice encodes, decodes and validates the published configuration
+// documents and the platform's host list.
+package notice
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/document"
+)
+
+// MaxValueBytes bounds the bytes of one value. The configuration service holds
+// values of up to 1 MiB, and documents stay below it.
+const MaxValueBytes = 1 << 20
+
+// MaxHostListBytes bounds the bytes of a host list: 400 hosts and 2,400
+// servers need about 400 KB.
+const MaxHostListBytes = 4 << 20
+
+// Codec reads and writes documents. The zero value is ready to use.
+type Codec struct{}
+
+var _ ebonyworks.Documents = Codec{}
+
+// Head decodes a head. The result is meaningful only without problems.
+func (Codec) Head(bytes []byte) (ebonyworks.Head, []ebonyworks.Problem) {
+	if problem := oversize("", bytes); problem != nil {
+		return ebonyworks.Head{}, problem
+	}
+	var wire headWire
+	if problems := document.Decode(bytes, &wire); problems != nil {
+		return ebonyworks.Head{}, problems
+	}
+	head := wire.domain()
+	if problems := validateHead(head); problems != nil {
+		return ebonyworks.Head{}, problems
+	}
+	return head, nil
+}
+
+// Assemble decodes the parts that the head lists and validates the whole.
+// Parts that differ from the head in number, name or digest are problems, too.
+func (Codec) Assemble(mark ebonyworks.Mark, head ebonyworks.Head, parts []ebonyworks.Part) (*ebonyworks.Configuration, []ebonyworks.Problem) {
+	problems := matchParts(head, parts)
+	if problems != nil {
+		return nil, problems
+	}
+	configuration := &ebonyworks.Configuration{Mark: mark}
+	for _, part := range parts {
+		problems = append(problems, decodePart(configuration, part)...)
+	}
+	// Parts that can't be decoded would be reported again as missing
+	// references, so the whole is validated only when all are readable.
+	if problems != nil {
+		return nil, problems
+	}
+	if problems = Validate(configuration); problems != nil {
+		return nil, problems
+	}
+	return configuration, nil
+}
+
+func matchParts(head ebonyworks.Head, parts []ebonyworks.Part) []ebonyworks.Problem {
+	if len(parts) != len(head.Parts) {
+		message := fmt.Sprintf("the head lists %d parts, but %d were given", len(head.Parts), len(parts))
+		return []ebonyworks.Problem{{Place: "Parts", Message: message}}
+	}
+	var problems []ebonyworks.Problem
+	for i, part := range parts {
+		want := head.Parts[i]
+		place := document.Index("Parts", i)
+		if part.Name != want.Name {
+			message := fmt.Sprintf("the head lists %q here, not %q", want.Name, part.Name)
+			problems = append(problems, ebonyworks.Problem{Place: document.Join(place, "Name"), Message: message})
+			continue
+		}
+		if ebonyworks.Digest(sha256.Sum256(part.Bytes)) != want.Digest {
+			message := fmt.Sprintf("the bytes of %q have another digest", part.Name)
+			problems = append(problems, ebonyworks.Problem{Place: document.Join(place, "Digest"), Message: message})
+		}
+	}
+	return problems
+}
+
+func decodePart(configuration *ebonyworks.Configuration, part ebonyworks.Part) []ebonyworks.Problem {
+	if problem := oversize(part.Name, part.Bytes); problem != nil {
+		return problem
+	}
+	if part.Name == RoutesPart {
+		var wire routesWire
+		problems := document.Decode(part.Bytes, &wire)
+		problems = append(problems, missingPolicies(wire, problems)...)
+		for _, route := range wire.Routes {
+			configuration.Routes = append(configuration.Routes, route.domain())
+		}
+		return placeRoutes(problems)
+	}
+	var wire catalogueWire
+	problems := document.Decode(part.Bytes, &wire)
+	if problems == nil && CataloguePart(ebonyworks.CatalogueID(wire.ID)) != part.Name {
+		message := fmt.Sprintf("must be that of the part's name, not %q", wire.ID)
+		problems = append(problems, ebonyworks.Problem{Place: "ID", Message: message})
+	}
+	for i := range problems {
+		problems[i].Place = document.Join(part.Name, problems[i].Place)
+	}
+	configuration.Catalogues = append(configuration.Catalogues, wire.domain())
+	return problems
+}
+
+// placeRoutes names the part in problems that concern the whole of it.
+func placeRoutes(problems []ebonyworks.Problem) []ebonyworks.Problem {
+	for i := range problems {
+		if problems[i].Place == "" {
+			problems[i].Place = RoutesPart
+		}
+	}
+	return problems
+}
+
+// missingPolicies reports search routes without a policy. The decoder can't,
+// since reservation routes have none. A policy that was reported as wrong is
+// not reported again.
+func missingPolicies(wire routesWire, known []ebonyworks.Problem) []ebonyworks.Problem {
+	var problems []ebonyworks.Problem
+	for i, route := range wire.Routes {
+		place := document.Join(document.Index("Routes", i), "Policy")
+		reported := slices.ContainsFunc(known, func(p ebonyworks.Problem) bool { return p.Place == place })
+		if route.Kind == searchKind && route.Policy == "" && !reported {
+			problems = append(problems, ebonyworks.Problem{Place: place, Message: "is missing"})
+		}
+	}
+	return problems
+}
+
+func oversize(place string, bytes []byte) []ebonyworks.Problem {
+	if len(bytes) < MaxValueBytes {
+		return nil
+	}
+	message := fmt.Sprintf("has %d bytes, but a value must stay below %d", len(bytes), MaxValueBytes)
+	return []ebonyworks.Problem{{Place: place, Message: message}}
+}
+
+func validateHead(head ebonyworks.Head) []ebonyworks.Problem {
+	var problems []ebonyworks.Problem
+	add := func(place, format string, arguments ...any) {
+		problems = append(problems, ebonyworks.Problem{Place: place, Message: fmt.Sprintf(format, arguments...)})
+	}
+	if head.Revision == 0 {
+		add("Revision", "must be positive")
+	}
+	if head.Base.Revision >= head.Revision && head.Revision > 0 {
+		add("Base.Revision", "must be less than Revision, %d >= %d", head.Base.Revision, head.Revision)
+	}
+	if head.Base.Revision == 0 && head.Base != (ebonyworks.Mark{}) {
+		add("Base.Digest", "must be zero if there is no base revision")
+	}
+	var routes bool
+	for i, part := range head.Parts {
+		place := document.Join(document.Index("Parts", i), "Name")
+		if part.Name == RoutesPart {
+			routes = true
+		} else if id, ok := strings.CutPrefix(part.Name, cataloguePrefix); !ok {
+			add(place, "must be %q or start with %q, not %q", RoutesPart, cataloguePrefix, part.Name)
+		} else if message := catalogueMistake(id); message != "" {
+			add(place, "the catalogue's id %s", message)
+		}
+		if i > 0 && part.Name <= head.Parts[i-1].Name {
+			add(place, "names must be unique and in increasing order, but %q follows %q", part.Name, head.Parts[i-1].Name)
+		}
+	}
+	if !routes {
+		add("Parts", "must list the part %q", RoutesPart)
+	}
+	return problems
+}
+
+// Publish encodes a configuration as the given revision, derived from the
+// base. The mark of the configuration is ignored. The result depends only on
+// the arguments. It is meaningful only without problems.
+func (c Codec) Publish(revision ebonyworks.Revision, base ebonyworks.Mark, configuration *ebonyworks.Configuration) (Publication, []ebonyworks.Problem) {
+	problems := Validate(configuration)
+	if problems != nil {
+		return Publication{}, problems
+	}
+	publication := Publication{Head: ebonyworks.Head{Revision: revision, Base: base}}
+	add := func(name string, wire any) {
+		bytes, err := document.Encode(wire)
+		if err != nil {
+			problems = append(problems, ebonyworks.Problem{Place: name, Message: err.Error()})
+			return
+		}
+		problems = append(problems, oversize(name, bytes)...)
+		publication.Parts = append(publication.Parts, ebonyworks.Part{Name: name, Bytes: bytes})
+	}
+	for _, catalogue := range configuration.Catalogues {
+		add(CataloguePart(catalogue.ID), catalogueToWire(catalogue))
+	}
+	add(RoutesPart, routesToWire(configuration.Routes))
+	slices.SortFunc(publication.Parts, func(a, b ebonyworks.Part) int { return strings.Compare(a.Name, b.Name) })
+	for _, part := range publication.Parts {
+		digest := ebonyworks.PartDigest{Name: part.Name, Digest: sha256.Sum256(part.Bytes)}
+		publication.Head.Parts = append(publication.Head.Parts, digest)
+	}
+	problems = append(problems, validateHead(publication.Head)...)
+	if problems != nil {
+		return Publication{}, problems
+	}
+	bytes, err := c.EncodeHead(publication.Head)
+	if err != nil {
+		return Publication{}, []ebonyworks.Problem{{Message: err.Error()}}
+	}
+	publication.HeadBytes = bytes
+	return publication, oversize("Parts", bytes)
+}
+
+// EncodeHead returns the document of a head.
+func (Codec) EncodeHead(head ebonyworks.Head) ([]byte, error) {
+	return document.Encode(headToWire(head))
+}
+
+// Hosts decodes the platform's host list. Names may repeat, since a host and
+// its replacement can be listed together. The result is meaningful only
+// without problems.
+func (Codec) Hosts(bytes []byte) ([]ebonyworks.ListedHost, []ebonyworks.Problem) {
+	if len(bytes) > MaxHostListBytes {
+		message := fmt.Sprintf("has %d bytes, but a host list has at most %d", len(bytes), MaxHostListBytes)
+		return nil, []ebonyworks.Problem{{Message: message}}
+	}
+	var wire hostsWire
+	if problems := document.Decode(bytes, &wire); problems != nil {
+		return nil, problems
+	}
+	var hosts []ebonyworks.ListedHost
+	for _, host := range wire.Hosts {
+		hosts = append(hosts, host.domain())
+	}
+	if problems := validateHosts(hosts); problems != nil {
+		return nil, problems
+	}
+	return hosts, nil
+}
+
+// EncodeHosts returns the document of a host list.
+func (Codec) EncodeHosts(hosts []ebonyworks.ListedHost) ([]byte, error) {
+	if problems := validateHosts(hosts); problems != nil {
+		return nil, errors.Errorf("%s: %s", problems[0].Place, problems[0].Message)
+	}
+	wire := hostsWire{Hosts: []hostWire{}}
+	for _, host := range hosts {
+		wire.Hosts = append(wire.Hosts, hostToWire(host))
+	}
+	return document.Encode(wire)
+}
+
+func validateHosts(hosts []ebonyworks.ListedHost) []ebonyworks.Problem {
+	var problems []ebonyworks.Problem
+	add := func(place, message string) {
+		if message != "" {
+			problems = append(problems, ebonyworks.Problem{Place: place, Message: message})
+		}
+	}
+	for i, host := range hosts {
+		place := document.Index("Hosts", i)
+		add(document.Join(place, "Name"), idMistake(host.Name))
+		add(document.Join(place, "Address"), addressMistake(host.Address))
+		add(document.Join(place, "Domain"), idMistake(string(host.Domain)))
+	}
+	return problems
+}
--- /dev/null
+++ b/protocol/notice/fuzz_test.go
@@ -0,0 +1,58 @@
+package notice_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+)
+
+// Guards against documents that stop a host, or that mean something else once
+// they are encoded again.
+func FuzzHead(f *testing.F) {
+	configuration, problems := assemble([]byte(routesText), []byte(catalogueText))
+	require.Empty(f, problems)
+	publication, problems := notice.Codec{}.Publish(9, ebonyworks.Mark{Revision: 8}, configuration)
+	require.Empty(f, problems)
+	f.Add(publication.HeadBytes)
+	f.Fuzz(func(t *testing.T, bytes []byte) {
+		head, problems := notice.Codec{}.Head(bytes)
+		if problems != nil {
+			return
+		}
+		encoded, err := notice.Codec{}.EncodeHead(head)
+		require.NoError(t, err)
+		again, problems := notice.Codec{}.Head(encoded)
+		require.Empty(t, problems)
+		require.Equal(t, head, again)
+	})
+}
+
+// Guards against the same failures in parts.
+func FuzzAssemble(f *testing.F) {
+	f.Add([]byte(routesText), []byte(catalogueText))
+	f.Fuzz(func(t *testing.T, routes, catalogue []byte) {
+		configuration, problems := assemble(routes, catalogue)
+		if problems == nil {
+			require.Equal(t, configuration, republish(t, configuration))
+		}
+	})
+}
+
+// Guards against the same failures in host lists.
+func FuzzHosts(f *testing.F) {
+	f.Add([]byte(hostsText))
+	f.Fuzz(func(t *testing.T, bytes []byte) {
+		hosts, problems := notice.Codec{}.Hosts(bytes)
+		if problems != nil {
+			return
+		}
+		encoded, err := notice.Codec{}.EncodeHosts(hosts)
+		require.NoError(t, err)
+		again, problems := notice.Codec{}.Hosts(encoded)
+		require.Empty(t, problems)
+		require.Equal(t, hosts, again)
+	})
+}
--- /dev/null
+++ b/protocol/notice/publication.go
@@ -0,0 +1,51 @@
+package notice
+
+import (
+	"crypto/sha256"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	// HeadKey is the key of the head on the configuration service.
+	HeadKey ebonyworks.Key = "Configuration/Head"
+	// RoutesPart is the name of the part that holds the routes.
+	RoutesPart = "Routes"
+
+	cataloguePrefix = "Catalogue/"
+	partPrefix      = "Configuration/Parts/"
+)
+
+// CataloguePart returns the name of the part that holds the catalogue.
+func CataloguePart(id ebonyworks.CatalogueID) string {
+	return cataloguePrefix + string(id)
+}
+
+// PartKey returns the key of the named part on the configuration service. It
+// isn't percent-encoded.
+func PartKey(name string) ebonyworks.Key {
+	return ebonyworks.Key(partPrefix + name)
+}
+
+// Publication is the documents of one configuration.
+type Publication struct {
+	Head      ebonyworks.Head
+	HeadBytes []byte
+	// Parts are in the order of the head.
+	Parts []ebonyworks.Part
+}
+
+// Mark returns the mark under which hosts accept the publication.
+func (p Publication) Mark() ebonyworks.Mark {
+	return ebonyworks.Mark{Revision: p.Head.Revision, Digest: sha256.Sum256(p.HeadBytes)}
+}
+
+// Values returns what to write to the configuration service, in this order:
+// the parts, then the head. Versions are zero.
+func (p Publication) Values() []ebonyworks.Value {
+	values := make([]ebonyworks.Value, 0, len(p.Parts)+1)
+	for _, part := range p.Parts {
+		values = append(values, ebonyworks.Value{Key: PartKey(part.Name), Bytes: part.Bytes})
+	}
+	return append(values, ebonyworks.Value{Key: HeadKey, Bytes: p.HeadBytes})
+}
--- /dev/null
+++ b/protocol/notice/validate.go
@@ -0,0 +1,285 @@
+package notice
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/document"
+)
+
+// Validate returns every mistake of a configuration. The mark isn't checked.
+// Places of routes start with "Routes[i]", those of catalogues with the part
+// name "Catalogue/<id>".
+func Validate(configuration *ebonyworks.Configuration) []ebonyworks.Problem {
+	v := validator{
+		catalogues: make(map[ebonyworks.CatalogueID]bool),
+		services:   make(map[ebonyworks.ServiceID]string),
+		servers:    make(map[ebonyworks.ServerID]string),
+		addresses:  make(map[netip.AddrPort]string),
+	}
+	v.routes(configuration)
+	for i := range configuration.Catalogues {
+		v.catalogue(&configuration.Catalogues[i])
+	}
+	return v.problems
+}
+
+type validator struct {
+	problems   []ebonyworks.Problem
+	catalogues map[ebonyworks.CatalogueID]bool
+	// services, servers and addresses map what must be unique across the
+	// configuration to the place of its first use.
+	services  map[ebonyworks.ServiceID]string
+	servers   map[ebonyworks.ServerID]string
+	addresses map[netip.AddrPort]string
+}
+
+func (v *validator) add(place, format string, arguments ...any) {
+	problem := ebonyworks.Problem{Place: place, Message: fmt.Sprintf(format, arguments...)}
+	v.problems = append(v.problems, problem)
+}
+
+// id checks that a name can be shown on one line and typed by an operator.
+func (v *validator) id(place, id string) {
+	if message := idMistake(id); message != "" {
+		v.add(place, "%s", message)
+	}
+}
+
+func idMistake(id string) string {
+	switch {
+	case id == "":
+		return "must not be empty"
+	case !utf8.ValidString(id):
+		return "must be valid UTF-8"
+	case strings.TrimSpace(id) != id:
+		return fmt.Sprintf("must not start or end with white space: %q", id)
+	case strings.ContainsFunc(id, func(r rune) bool { return !unicode.IsPrint(r) }):
+		return fmt.Sprintf("must hold printable characters only: %q", id)
+	default:
+		return ""
+	}
+}
+
+// catalogueMistake checks the id of a catalogue. It is the last element of a
+// key, and tools use keys as file paths.
+func catalogueMistake(id string) string {
+	if strings.Contains(id, "/") || id == "." || id == ".." {
+		return fmt.Sprintf("must be a single path element: %q", id)
+	}
+	return idMistake(id)
+}
+
+func (v *validator) routes(configuration *ebonyworks.Configuration) {
+	if len(configuration.Routes) == 0 {
+		v.add("Routes", "must list at least one route")
+	}
+	seen := make(map[ebonyworks.RouteID]bool)
+	for i, route := range configuration.Routes {
+		place := document.Index("Routes", i)
+		v.id(document.Join(place, "ID"), string(route.ID))
+		if seen[route.ID] {
+			v.add(document.Join(place, "ID"), "route %q appears twice", route.ID)
+		}
+		seen[route.ID] = true
+		v.route(place, route)
+		catalogue, known := configuration.Catalogue(route.Catalogue)
+		if !known {
+			v.add(document.Join(place, "Catalogue"), "no catalogue %q", route.Catalogue)
+			continue
+		}
+		v.routeDomains(place, route, catalogue)
+	}
+}
+
+func (v *validator) route(place string, route ebonyworks.Route) {
+	if route.Kind != ebonyworks.SearchRoute && route.Kind != ebonyworks.ReservationRoute {
+		v.add(document.Join(place, "Kind"), "unknown kind %d", route.Kind)
+	}
+	if route.Policy != ebonyworks.PreferLatency && route.Policy != ebonyworks.PreferCoverage {
+		v.add(document.Join(place, "Policy"), "unknown policy %d", route.Policy)
+	}
+	if route.Kind == ebonyworks.ReservationRoute && route.Policy != ebonyworks.PreferLatency {
+		v.add(document.Join(place, "Policy"), "applies to search routes only")
+	}
+	v.positive(document.Join(place, "DefaultDeadline"), route.DefaultDeadline)
+	v.positive(document.Join(place, "MaxDeadline"), route.MaxDeadline)
+	if route.DefaultDeadline > route.MaxDeadline {
+		v.add(document.Join(place, "DefaultDeadline"), "must be at most MaxDeadline, %v > %v", route.DefaultDeadline, route.MaxDeadline)
+	}
+}
+
+func (v *validator) routeDomains(place string, route ebonyworks.Route, catalogue *ebonyworks.Catalogue) {
+	known := make(map[ebonyworks.DomainID]bool)
+	for _, service := range catalogue.Services {
+		for _, server := range service.Servers {
+			known[server.Domain] = true
+		}
+	}
+	seen := make(map[ebonyworks.DomainID]bool)
+	for i, domain := range route.Domains {
+		inner := document.Index(document.Join(place, "Domains"), i)
+		if !known[domain] {
+			v.add(inner, "no server of catalogue %q is in domain %q", route.Catalogue, domain)
+		}
+		if seen[domain] {
+			v.add(inner, "domain %q appears twice", domain)
+		}
+		seen[domain] = true
+	}
+}
+
+func (v *validator) positive(place string, duration time.Duration) {
+	if duration <= 0 {
+		v.add(place, "must be positive, not %v", duration)
+	}
+}
+
+func (v *validator) catalogue(catalogue *ebonyworks.Catalogue) {
+	place := CataloguePart(catalogue.ID)
+	if message := catalogueMistake(string(catalogue.ID)); message != "" {
+		v.add(document.Join(place, "ID"), "%s", message)
+	}
+	if v.catalogues[catalogue.ID] {
+		v.add(document.Join(place, "ID"), "catalogue %q appears twice", catalogue.ID)
+	}
+	v.catalogues[catalogue.ID] = true
+	if len(catalogue.Services) == 0 {
+		v.add(document.Join(place, "Services"), "must list at least one service")
+	}
+	for i, service := range catalogue.Services {
+		v.service(document.Index(document.Join(place, "Services"), i), service)
+	}
+	v.partitions(document.Join(place, "Partitions"), catalogue)
+}
+
+func (v *validator) service(place string, service ebonyworks.Service) {
+	v.id(document.Join(place, "ID"), string(service.ID))
+	if first, seen := v.services[service.ID]; seen {
+		v.add(document.Join(place, "ID"), "service %q appears twice, first at %s", service.ID, first)
+	} else {
+		v.services[service.ID] = place
+	}
+	if service.Slots <= 0 {
+		v.add(document.Join(place, "Slots"), "must be positive, not %d", service.Slots)
+	}
+	if service.ConnectionCap <= 0 {
+		v.add(document.Join(place, "ConnectionCap"), "must be positive, not %d", service.ConnectionCap)
+	}
+	if service.ConnectTime < 0 {
+		v.add(document.Join(place, "ConnectTime"), "must not be negative, not %v", service.ConnectTime)
+	}
+	if len(service.Servers) == 0 {
+		v.add(document.Join(place, "Servers"), "must list at least one server")
+	}
+	for i, server := range service.Servers {
+		v.server(document.Index(document.Join(place, "Servers"), i), server)
+	}
+}
+
+func (v *validator) server(place string, server ebonyworks.Server) {
+	v.id(document.Join(place, "ID"), string(server.ID))
+	if first, seen := v.servers[server.ID]; seen {
+		v.add(document.Join(place, "ID"), "server %q appears twice, first at %s", server.ID, first)
+	} else {
+		v.servers[server.ID] = place
+	}
+	v.id(document.Join(place, "Domain"), string(server.Domain))
+	address := document.Join(place, "Address")
+	if message := addressMistake(server.Address); message != "" {
+		v.add(address, "%s", message)
+		return
+	}
+	if first, seen := v.addresses[server.Address]; seen {
+		v.add(address, "address %v appears twice, first at %s", server.Address, first)
+		return
+	}
+	v.addresses[server.Address] = place
+}
+
+func addressMistake(address netip.AddrPort) string {
+	switch {
+	case !address.IsValid():
+		return "must be an IP address and port"
+	case address.Addr().IsUnspecified():
+		return fmt.Sprintf("must name one address, not %v", address)
+	case address.Addr().Zone() != "":
+		return fmt.Sprintf("must have no zone, not %v", address)
+	case address.Port() == 0:
+		return fmt.Sprintf("must have a port, not %v", address)
+	default:
+		return ""
+	}
+}
+
+func (v *validator) partitions(place string, catalogue *ebonyworks.Catalogue) {
+	if len(catalogue.Partitions) == 0 {
+		v.add(place, "must list at least one partition")
+	}
+	var previous ebonyworks.PartitionEpoch
+	for i, partition := range catalogue.Partitions {
+		inner := document.Index(place, i)
+		if partition.Epoch <= previous {
+			v.add(document.Join(inner, "Epoch"), "must be greater than %d, not %d", previous, partition.Epoch)
+		}
+		previous = partition.Epoch
+		v.shards(document.Join(inner, "Shards"), catalogue, partition.Shards)
+	}
+}
+
+func (v *validator) shards(place string, catalogue *ebonyworks.Catalogue, shards []ebonyworks.Shard) {
+	if len(shards) == 0 {
+		v.add(place, "must list at least one shard")
+		return
+	}
+	services := make(map[ebonyworks.ServiceID]bool, len(catalogue.Services))
+	for _, service := range catalogue.Services {
+		services[service.ID] = true
+	}
+	seen := make(map[ebonyworks.ShardID]bool, len(shards))
+	for i, shard := range shards {
+		inner := document.Index(place, i)
+		v.id(document.Join(inner, "ID"), string(shard.ID))
+		if seen[shard.ID] {
+			v.add(document.Join(inner, "ID"), "shard %q appears twice", shard.ID)
+		}
+		seen[shard.ID] = true
+		if !services[shard.Service] {
+			v.add(document.Join(inner, "Service"), "no service %q in this catalogue", shard.Service)
+		}
+		v.keys(document.Join(inner, "Keys"), shards, i)
+	}
+}
+
+// keys checks the range of the shard at the index against its predecessor.
+func (v *validator) keys(place string, shards []ebonyworks.Shard, index int) {
+	keys := shards[index].Keys
+	if !utf8.ValidString(keys.From) || !utf8.ValidString(keys.To) {
+		v.add(place, "bounds must be valid UTF-8")
+	}
+	last := index == len(shards)-1
+	if last && keys.To != "" {
+		v.add(document.Join(place, "To"), "must be empty on the last shard, or keys from %q on belong to no shard", keys.To)
+	}
+	if !last && keys.To == "" {
+		v.add(document.Join(place, "To"), "must not be empty before the last shard, or the ranges overlap")
+	}
+	if keys.To != "" && keys.From >= keys.To {
+		v.add(place, "From must be before To, %q >= %q", keys.From, keys.To)
+	}
+	var want string
+	if index > 0 {
+		want = shards[index-1].Keys.To
+		if want == "" {
+			return
+		}
+	}
+	if keys.From != want {
+		v.add(document.Join(place, "From"), "must be %q, the end of the previous range, not %q", want, keys.From)
+	}
+}
