Add the register of backend servers

The register holds departures, incarnations, the host's own latency average and failures for each server. Departures are final within an incarnation; a newer incarnation starts a slow start.

Load reports and failures never remove a server from the candidates; only its own word does. Cancelled and timed-out attempts raise the average as lower bounds, since a straggler that always loses to a hedge would otherwise never show its latency.

--- /dev/null
+++ b/state/register/register.go
@@ -0,0 +1,520 @@
+// Package register holds what this host knows of each backend server.
+package register
+
+import (
+	"math"
+	mathrand "math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+const (
+	// MaxServers bounds the records. It is above the 2,400 servers of the design size,
+	// so that servers of an old and a new configuration fit together.
+	MaxServers = 8192
+	// RampTime is how long a cold server takes to reach its full share.
+	RampTime = 10 * time.Second
+	// StaleAge is the age from which facts must be refreshed. It is the time
+	// by which a departure has to be known everywhere.
+	StaleAge = 3 * time.Second
+
+	rampStep     = time.Second
+	rampStart    = 0.1
+	latencyDecay = 2 * time.Second
+	// maxLatency bounds what repeated shed replies can add to the average.
+	maxLatency = time.Second
+	// statusInterval is the shortest time between status requests of one host
+	// to one server.
+	statusInterval = time.Second
+	// reportAge is the age from which a load report isn't used to break ties.
+	reportAge = 2 * time.Second
+	// failuresUntilFailing keeps one lost reply from moving all load to the
+	// other replica. A refused connection counts as this many.
+	failuresUntilFailing = 3
+	firstProbeInterval   = 100 * time.Millisecond
+	maxProbeInterval     = 5 * time.Second
+	// returnedAge is how long the end of a departure is passed on to peers.
+	// Peers that missed it learn it from the server's next report.
+	returnedAge = time.Minute
+)
+
+// Register holds what this host knows of each backend server. The zero value
+// is usable. It is safe for concurrent use after its fields have been set.
+type Register struct {
+	// Random spreads the probes of failing servers. The register guards it
+	// with its own mutex, so it must not be shared. Nil means a fixed seed.
+	Random *mathrand.Rand
+	// Recorder takes events; nil discards them.
+	Recorder ebonyworks.Recorder
+
+	mutex sync.Mutex
+	// servers has at most MaxServers entries.
+	servers map[ebonyworks.ServerID]*record
+	// retained is set once a configuration has named the servers.
+	retained bool
+	// staleBefore is the time of the latest resume from a pause.
+	staleBefore time.Time
+}
+
+// record is what is known of one server. Times are zero if unknown.
+type record struct {
+	// incarnation never decreases; zero means unknown.
+	incarnation ebonyworks.Incarnation
+	// leaving is only cleared by a newer incarnation.
+	leaving bool
+	// returned is when a newer incarnation cleared leaving.
+	returned time.Time
+	// rampSince is the start of the slow start.
+	rampSince time.Time
+	// latency is the average as of latencyAt, zero if there is no sample.
+	latency   time.Duration
+	latencyAt time.Time
+	failures  int
+	// interval is the next time between probes, before jitter.
+	interval  time.Duration
+	nextProbe time.Time
+	// probing is set from the probe of a failing server to its result.
+	probing     bool
+	lastSuccess time.Time
+	// lastReport is when slotsBusy and queued were reported.
+	lastReport time.Time
+	slotsBusy  int
+	queued     int
+	// asked is when Due last returned the server for its missing report.
+	asked time.Time
+	// refreshed is when a fact was last confirmed by the server or a peer.
+	refreshed time.Time
+}
+
+// Observe learns from an ended attempt or status request.
+func (r *Register) Observe(attempt ebonyworks.AttemptRecord) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	known := r.open(attempt.Server)
+	if known == nil {
+		return
+	}
+	r.learnReport(known, attempt, now)
+	r.learnResult(known, attempt, now)
+}
+
+// Depart learns a departure from a peer or the host list. It reports whether
+// the fact was new, that is, worth passing on.
+func (r *Register) Depart(departure ebonyworks.Departure) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.open(departure.Server)
+	if known == nil {
+		return false
+	}
+	now := time.Now()
+	if departure.Incarnation >= known.incarnation {
+		known.refreshed = now
+	}
+	return r.learnIncarnation(known, departure, now)
+}
+
+// Departures returns the facts that peers need, ordered by server: all
+// servers that are leaving, and those that returned within the last minute.
+func (r *Register) Departures() []ebonyworks.Departure {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var departures []ebonyworks.Departure
+	for id, known := range r.servers {
+		recent := !known.returned.IsZero() && now.Sub(known.returned) < returnedAge
+		if !known.leaving && !recent {
+			continue
+		}
+		departures = append(departures, ebonyworks.Departure{Server: id, Incarnation: known.incarnation, Leaving: known.leaving})
+	}
+	slices.SortFunc(departures, func(a, b ebonyworks.Departure) int {
+		return strings.Compare(string(a.Server), string(b.Server))
+	})
+	return departures
+}
+
+// Candidates returns the servers of the service that the route may use and
+// that aren't leaving, in the order of the configuration. The quota supplies
+// the attempts in flight; nil means none.
+//
+// When the probe of a failing server is due, one call for a search route gets
+// it as not failing and without latency. Reservations never serve as probes,
+// since a failed one can't be repeated.
+func (r *Register) Candidates(
+	service *ebonyworks.Service,
+	route ebonyworks.Route,
+	near ebonyworks.DomainID,
+	quota ebonyworks.Quota,
+) []ebonyworks.Candidate {
+	candidates := make([]ebonyworks.Candidate, 0, len(service.Servers))
+	candidates = r.appendUsable(candidates, service, route, near)
+	if quota == nil {
+		return candidates
+	}
+	for i := range candidates {
+		candidates[i].InFlight, candidates[i].Limit = quota.Load(service, candidates[i].Server.ID)
+	}
+	return candidates
+}
+
+// Due returns at most limit of the servers that should be asked for their
+// status now: those without a report for a second, and failing ones whose
+// next probe is due. The caller passes the result of each to Observe.
+func (r *Register) Due(servers []ebonyworks.Server, limit int) []ebonyworks.Server {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var due []ebonyworks.Server
+	for _, server := range servers {
+		if len(due) >= limit {
+			break
+		}
+		known := r.open(server.ID)
+		if known != nil && r.takeStatus(known, now) {
+			due = append(due, server)
+		}
+	}
+	return due
+}
+
+// MarkStale declares all facts learned before now as stale. It is called
+// after a pause of the process.
+func (r *Register) MarkStale(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.staleBefore = now
+}
+
+// Stale reports whether the facts about the server must be refreshed before
+// the host relies on them.
+func (r *Register) Stale(server ebonyworks.ServerID) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.servers[server]
+	if known == nil || known.refreshed.IsZero() {
+		return true
+	}
+	return !known.refreshed.After(r.staleBefore) || time.Since(known.refreshed) > StaleAge
+}
+
+// ReportAge returns the age of the server's last report, or false if it sent
+// none.
+func (r *Register) ReportAge(server ebonyworks.ServerID) (time.Duration, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.servers[server]
+	if known == nil || known.lastReport.IsZero() {
+		return 0, false
+	}
+	return time.Since(known.lastReport), true
+}
+
+// LastSuccess returns when an attempt at the server last succeeded, or the
+// zero time.
+func (r *Register) LastSuccess(server ebonyworks.ServerID) time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.servers[server]
+	if known == nil {
+		return time.Time{}
+	}
+	return known.lastSuccess
+}
+
+// Retain drops the records of servers that the configuration no longer names.
+// Servers that a later configuration adds start slowly.
+func (r *Register) Retain(configuration *ebonyworks.Configuration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	named := make(map[ebonyworks.ServerID]bool)
+	for i := range configuration.Catalogues {
+		for j := range configuration.Catalogues[i].Services {
+			for _, server := range configuration.Catalogues[i].Services[j].Servers {
+				named[server.ID] = true
+			}
+		}
+	}
+	for id := range r.servers {
+		if !named[id] {
+			delete(r.servers, id)
+		}
+	}
+	for id := range named {
+		r.add(id, now)
+	}
+	r.retained = true
+}
+
+func (r *Register) add(id ebonyworks.ServerID, now time.Time) {
+	if r.servers[id] != nil {
+		return
+	}
+	known := r.open(id)
+	if known != nil && r.retained {
+		known.rampSince = now
+	}
+}
+
+// open returns the record of the server, or nil if there is no room for it.
+func (r *Register) open(id ebonyworks.ServerID) *record {
+	known := r.servers[id]
+	if known != nil || id == "" || len(r.servers) >= MaxServers {
+		return known
+	}
+	if r.servers == nil {
+		r.servers = make(map[ebonyworks.ServerID]*record)
+	}
+	known = &record{}
+	r.servers[id] = known
+	return known
+}
+
+func (r *Register) learnReport(known *record, attempt ebonyworks.AttemptRecord, now time.Time) {
+	report := attempt.Report
+	if report.Server != "" && report.Server != attempt.Server {
+		return
+	}
+	if report.Incarnation == 0 {
+		report.Incarnation = known.incarnation
+	}
+	if report.Incarnation < known.incarnation {
+		return
+	}
+	leaving := report.Leaving || attempt.Result == ebonyworks.AttemptDraining
+	r.learnIncarnation(known, ebonyworks.Departure{Server: attempt.Server, Incarnation: report.Incarnation, Leaving: leaving}, now)
+	if attempt.Report.Server == "" {
+		return
+	}
+	known.refreshed = now
+	known.lastReport = now
+	known.slotsBusy = report.SlotsBusy
+	known.queued = report.Queued
+}
+
+// learnIncarnation applies the fact if it isn't older than the known one, and
+// reports whether it changed anything.
+func (r *Register) learnIncarnation(known *record, fact ebonyworks.Departure, now time.Time) bool {
+	changed := false
+	if fact.Incarnation > known.incarnation {
+		r.beginIncarnation(known, fact, now)
+		changed = true
+	}
+	if fact.Incarnation == known.incarnation && fact.Leaving && !known.leaving {
+		known.leaving = true
+		r.record(event.ServerLeaving, fact.Server)
+		changed = true
+	}
+	return changed
+}
+
+func (r *Register) beginIncarnation(known *record, fact ebonyworks.Departure, now time.Time) {
+	first := known.incarnation == 0 && !known.leaving
+	known.incarnation = fact.Incarnation
+	if first {
+		// A host that has just started meets every server for the first
+		// time; that says nothing about how warm the server is.
+		return
+	}
+	if known.leaving {
+		known.returned = now
+	}
+	known.leaving = false
+	known.rampSince = now
+	known.latency = 0
+	known.failures = 0
+	known.resetProbes()
+	r.record(event.ServerReturned, fact.Server)
+}
+
+func (r *Register) learnResult(known *record, attempt ebonyworks.AttemptRecord, now time.Time) {
+	switch attempt.Result {
+	case ebonyworks.AttemptServed:
+		r.succeed(known, attempt.Server, now)
+		known.sample(now, attempt.Latency)
+	case ebonyworks.AttemptShed:
+		// The quick refusal must not make the server look fast.
+		known.raise(now, min(2*known.decayed(now), maxLatency))
+	case ebonyworks.AttemptCancelled:
+		// The loser of a hedged pair took at least this long.
+		known.raise(now, attempt.Latency)
+	case ebonyworks.AttemptTimeout:
+		known.raise(now, attempt.Latency)
+		r.fail(known, attempt.Server, 1, now)
+	case ebonyworks.AttemptLost, ebonyworks.AttemptInvalid:
+		r.fail(known, attempt.Server, 1, now)
+	case ebonyworks.AttemptUnreachable:
+		known.refreshed = now
+		r.fail(known, attempt.Server, failuresUntilFailing, now)
+	case ebonyworks.AttemptDraining, ebonyworks.AttemptSnapshotGone, ebonyworks.AttemptExpired, ebonyworks.AttemptRejected:
+		// These refusals say nothing about speed or health.
+	}
+}
+
+func (r *Register) succeed(known *record, server ebonyworks.ServerID, now time.Time) {
+	if known.failing() {
+		r.record(event.ServerRecovered, server)
+	}
+	known.lastSuccess = now
+	known.refreshed = now
+	known.failures = 0
+	known.resetProbes()
+}
+
+func (r *Register) fail(known *record, server ebonyworks.ServerID, count int, now time.Time) {
+	wasFailing := known.failing()
+	known.failures = min(known.failures+count, 2*failuresUntilFailing)
+	if !known.failing() {
+		return
+	}
+	if !wasFailing {
+		r.record(event.ServerFailing, server)
+	}
+	// Attempts that were in flight when the server failed end together and
+	// must not each lengthen the interval.
+	if wasFailing && !known.probing {
+		return
+	}
+	known.probing = false
+	known.interval = min(max(2*known.interval, firstProbeInterval), maxProbeInterval)
+	known.nextProbe = now.Add(r.jitter(known.interval))
+}
+
+// jitter returns a duration between half and one and a half times the given
+// one, so that hosts don't probe a returning server at the same moment.
+func (r *Register) jitter(interval time.Duration) time.Duration {
+	if r.Random == nil {
+		r.Random = mathrand.New(mathrand.NewPCG(1, 2))
+	}
+	return time.Duration(float64(interval) * (0.5 + r.Random.Float64()))
+}
+
+func (r *Register) appendUsable(
+	candidates []ebonyworks.Candidate,
+	service *ebonyworks.Service,
+	route ebonyworks.Route,
+	near ebonyworks.DomainID,
+) []ebonyworks.Candidate {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	mayProbe := route.Kind == ebonyworks.SearchRoute
+	for _, server := range service.Servers {
+		if !route.Allows(server.Domain) {
+			continue
+		}
+		candidate := ebonyworks.Candidate{Server: server, Near: server.Domain == near, Share: 1}
+		known := r.servers[server.ID]
+		if known != nil && known.leaving {
+			continue
+		}
+		if known != nil {
+			r.describe(known, &candidate, mayProbe, now)
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+func (r *Register) describe(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
+	candidate.Latency = known.decayed(now)
+	candidate.Share = known.share(now)
+	if now.Sub(known.lastReport) < reportAge {
+		candidate.SlotsBusy = known.slotsBusy
+		candidate.Queued = known.queued
+	}
+	candidate.Failing = known.failing()
+	if candidate.Failing && mayProbe && r.takeProbe(known, now) {
+		candidate.Failing = false
+		candidate.Latency = 0
+	}
+}
+
+// takeProbe reports whether a probe is due, and gives it to this caller only.
+func (r *Register) takeProbe(known *record, now time.Time) bool {
+	if now.Before(known.nextProbe) {
+		return false
+	}
+	known.nextProbe = now.Add(r.jitter(known.interval))
+	known.probing = true
+	return true
+}
+
+func (r *Register) takeStatus(known *record, now time.Time) bool {
+	if known.failing() {
+		return r.takeProbe(known, now)
+	}
+	if now.Sub(known.lastReport) < statusInterval && known.refreshed.After(r.staleBefore) {
+		return false
+	}
+	if now.Sub(known.asked) < statusInterval {
+		return false
+	}
+	known.asked = now
+	return true
+}
+
+func (r *Register) record(id ebonyworks.EventID, server ebonyworks.ServerID) {
+	if r.Recorder == nil {
+		return
+	}
+	r.Recorder.Record(event.New(id, event.Attribute("Server", string(server))))
+}
+
+func (k *record) resetProbes() {
+	k.interval = 0
+	k.nextProbe = time.Time{}
+	k.probing = false
+}
+
+func (k *record) failing() bool { return k.failures >= failuresUntilFailing }
+
+// share returns the part of its normal traffic that the server may get.
+func (k *record) share(now time.Time) float64 {
+	if k.rampSince.IsZero() {
+		return 1
+	}
+	steps := float64(now.Sub(k.rampSince) / rampStep)
+	total := float64(RampTime / rampStep)
+	return min(1, rampStart+(1-rampStart)*steps/total)
+}
+
+// decayed returns the latency average as of now. It decays while there are no
+// samples, so that a server that was slow is tried again.
+func (k *record) decayed(now time.Time) time.Duration {
+	if k.latency == 0 {
+		return 0
+	}
+	age := now.Sub(k.latencyAt)
+	latency := time.Duration(float64(k.latency) * math.Exp(-float64(age)/float64(latencyDecay)))
+	return max(latency, time.Nanosecond)
+}
+
+// sample moves the average to the latency: at once if it is slower, else by
+// the part that the time since the last sample stands for.
+func (k *record) sample(now time.Time, latency time.Duration) {
+	latency = max(latency, time.Nanosecond)
+	average := k.decayed(now)
+	if latency >= average {
+		k.latency = latency
+		k.latencyAt = now
+		return
+	}
+	weight := math.Exp(-float64(now.Sub(k.latencyAt)) / float64(latencyDecay))
+	k.latency = latency + time.Duration(float64(average-latency)*weight)
+	k.latencyAt = now
+}
+
+// raise applies a sample of which only a lower bound is known.
+func (k *record) raise(now time.Time, latency time.Duration) {
+	if latency > k.decayed(now) {
+		k.sample(now, latency)
+	}
+}
--- /dev/null
+++ b/state/register/register_test.go
@@ -0,0 +1,233 @@
+package register_test
+
+import (
+	mathrand "math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+var (
+	service = &ebonyworks.Service{ID: "stock-finder-01", Slots: 2, Servers: []ebonyworks.Server{
+		{ID: "a", Domain: "Sapporo"}, {ID: "b", Domain: "Hakodate"},
+	}}
+	searches     = ebonyworks.Route{Kind: ebonyworks.SearchRoute}
+	reservations = ebonyworks.Route{Kind: ebonyworks.ReservationRoute}
+)
+
+func newRegister() *register.Register {
+	return &register.Register{Random: mathrand.New(mathrand.NewPCG(7, 7))}
+}
+
+func attempt(result ebonyworks.AttemptResult, latency time.Duration, incarnation ebonyworks.Incarnation, leaving bool) ebonyworks.AttemptRecord {
+	record := ebonyworks.AttemptRecord{Server: "a", Result: result, Latency: latency}
+	if incarnation > 0 {
+		record.Report = ebonyworks.ServerReport{Server: "a", Incarnation: incarnation, Leaving: leaving}
+	}
+	return record
+}
+
+func usable(r *register.Register) []ebonyworks.ServerID {
+	var ids []ebonyworks.ServerID
+	for _, candidate := range r.Candidates(service, searches, "Sapporo", nil) {
+		ids = append(ids, candidate.Server.ID)
+	}
+	return ids
+}
+
+// Guards against new work for leaving servers, against old facts that undo
+// newer ones, and against servers that other sources than their own word
+// take out of use.
+func TestDepartures(t *testing.T) {
+	served, lost := ebonyworks.AttemptServed, ebonyworks.AttemptLost
+	foreign := attempt(served, time.Millisecond, 4, true)
+	foreign.Report.Server = "b"
+	overloaded := attempt(served, time.Millisecond, 4, false)
+	overloaded.Report.SlotsBusy, overloaded.Report.Queued = 1<<20, 1<<20
+	tests := []struct {
+		name     string
+		attempts []ebonyworks.AttemptRecord
+		facts    []ebonyworks.Departure
+		gone     bool
+	}{
+		{name: "own report", attempts: []ebonyworks.AttemptRecord{attempt(served, 1, 3, true)}, gone: true},
+		{name: "refusal without report", attempts: []ebonyworks.AttemptRecord{attempt(served, 1, 3, false), attempt(ebonyworks.AttemptDraining, 1, 0, false)}, gone: true},
+		{name: "final within the incarnation", attempts: []ebonyworks.AttemptRecord{attempt(served, 1, 3, true), attempt(served, 1, 3, false)}, gone: true},
+		{name: "cleared by a newer incarnation", attempts: []ebonyworks.AttemptRecord{attempt(served, 1, 3, true), attempt(served, 1, 4, false)}},
+		{name: "late report of an older incarnation", attempts: []ebonyworks.AttemptRecord{attempt(served, 1, 4, false), attempt(served, 1, 3, true)}},
+		{name: "older fact of a peer", attempts: []ebonyworks.AttemptRecord{attempt(served, 1, 4, false)}, facts: []ebonyworks.Departure{{Server: "a", Incarnation: 3, Leaving: true}}},
+		{name: "newer fact of a peer", facts: []ebonyworks.Departure{{Server: "a", Incarnation: 5, Leaving: true}, {Server: "a", Incarnation: 5}}, gone: true},
+		{name: "report that names another server", attempts: []ebonyworks.AttemptRecord{foreign}},
+		{name: "high load", attempts: []ebonyworks.AttemptRecord{overloaded}},
+		{name: "failures", attempts: []ebonyworks.AttemptRecord{attempt(lost, 1, 0, false), attempt(lost, 1, 0, false), attempt(lost, 1, 0, false), attempt(lost, 1, 0, false)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRegister()
+			for _, record := range test.attempts {
+				r.Observe(record)
+			}
+			for _, fact := range test.facts {
+				r.Depart(fact)
+			}
+			assert.Equal(t, test.gone, len(usable(r)) == 1)
+			assert.Equal(t, test.gone, len(r.Departures()) == 1 && r.Departures()[0].Leaving)
+		})
+	}
+}
+
+// Guards against facts that circulate forever, and against a departure that
+// no peer learns the end of.
+func TestDepartIsNewOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegister()
+		assert.True(t, r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 2, Leaving: true}))
+		assert.False(t, r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 2, Leaving: true}))
+		assert.True(t, r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 3}))
+		assert.Equal(t, []ebonyworks.Departure{{Server: "a", Incarnation: 3}}, r.Departures())
+		time.Sleep(2 * time.Minute)
+		assert.Empty(t, r.Departures())
+	})
+}
+
+// Guards against full load on a cold server, against a ramp that never ends,
+// and against a ramp for servers that a starting host meets for the first time.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegister()
+		share := func() float64 { return r.Candidates(service, searches, "Sapporo", nil)[0].Share }
+		r.Observe(attempt(ebonyworks.AttemptServed, time.Millisecond, 3, false))
+		assert.InDelta(t, 1, share(), 1e-9)
+		r.Observe(attempt(ebonyworks.AttemptServed, time.Millisecond, 4, false))
+		for step := range 11 {
+			assert.InDelta(t, 0.1+0.09*float64(step), share(), 1e-9)
+			time.Sleep(time.Second)
+		}
+		assert.InDelta(t, 1, share(), 1e-9)
+	})
+}
+
+// Guards against an average that hides a straggler, whose attempts end by
+// cancellation, and against one that never forgives.
+func TestLatencyAverage(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt ebonyworks.AttemptRecord
+		wait    time.Duration
+		low     time.Duration
+		high    time.Duration
+	}{
+		{"slower sample counts at once", attempt(ebonyworks.AttemptServed, 100*time.Millisecond, 0, false), 0, 100 * time.Millisecond, 100 * time.Millisecond},
+		{"faster sample counts slowly", attempt(ebonyworks.AttemptServed, time.Millisecond, 0, false), 0, 9 * time.Millisecond, 10 * time.Millisecond},
+		{"cancelled loser is a lower bound", attempt(ebonyworks.AttemptCancelled, 50*time.Millisecond, 0, false), 0, 50 * time.Millisecond, 50 * time.Millisecond},
+		{"early cancellation teaches nothing", attempt(ebonyworks.AttemptCancelled, 1, 0, false), 0, 10 * time.Millisecond, 10 * time.Millisecond},
+		{"quick refusal doesn't look fast", attempt(ebonyworks.AttemptShed, 1, 0, false), 0, 20 * time.Millisecond, 20 * time.Millisecond},
+		{"peak decays", attempt(ebonyworks.AttemptServed, 100*time.Millisecond, 0, false), 6 * time.Second, 4 * time.Millisecond, 6 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegister()
+				r.Observe(attempt(ebonyworks.AttemptServed, 10*time.Millisecond, 0, false))
+				r.Observe(test.attempt)
+				time.Sleep(test.wait)
+				latency := r.Candidates(service, searches, "Sapporo", nil)[0].Latency
+				assert.GreaterOrEqual(t, latency, test.low)
+				assert.LessOrEqual(t, latency, test.high)
+			})
+		})
+	}
+}
+
+// Guards against probes that hammer a dead server, against a server that is
+// never tried again, and against reservations that serve as probes.
+func TestProbesOfFailingServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegister()
+		failing := func(route ebonyworks.Route) bool { return r.Candidates(service, route, "Sapporo", nil)[0].Failing }
+		r.Observe(attempt(ebonyworks.AttemptUnreachable, 0, 0, false))
+		require.True(t, failing(searches))
+		var gaps []time.Duration
+		last := time.Now()
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			require.True(t, failing(reservations))
+			if failing(searches) {
+				continue
+			}
+			require.True(t, failing(searches), "the probe must be given out once")
+			gaps = append(gaps, time.Since(last))
+			last = time.Now()
+			r.Observe(attempt(ebonyworks.AttemptUnreachable, 0, 0, false))
+		}
+		assert.Less(t, gaps[0], 200*time.Millisecond)
+		assert.Less(t, len(gaps), 20)
+		assert.Greater(t, gaps[len(gaps)-1], 2*time.Second)
+		assert.LessOrEqual(t, gaps[len(gaps)-1], 8*time.Second)
+		r.Observe(attempt(ebonyworks.AttemptServed, time.Millisecond, 0, false))
+		assert.False(t, failing(reservations))
+	})
+}
+
+// Guards against decisions on facts from before a pause, and against status
+// requests more often than once a second.
+func TestStaleAndDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegister()
+		assert.True(t, r.Stale("a"), "never contacted")
+		assert.Len(t, r.Due(service.Servers, 10), 2)
+		assert.Empty(t, r.Due(service.Servers, 10))
+		r.Observe(attempt(ebonyworks.AttemptServed, time.Millisecond, 3, false))
+		assert.False(t, r.Stale("a"))
+		age, ok := r.ReportAge("a")
+		assert.True(t, ok)
+		assert.Zero(t, age)
+		time.Sleep(time.Second)
+		assert.Len(t, r.Due(service.Servers, 1), 1)
+		r.MarkStale(time.Now())
+		assert.True(t, r.Stale("a"))
+		time.Sleep(time.Millisecond)
+		r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 2})
+		assert.True(t, r.Stale("a"), "an older fact refreshes nothing")
+		r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 3})
+		assert.False(t, r.Stale("a"))
+		time.Sleep(2 * register.StaleAge)
+		assert.True(t, r.Stale("a"))
+	})
+}
+
+// Guards against memory that grows with server names that come and go, and
+// against servers of a new configuration that start at full load.
+func TestRetain(t *testing.T) {
+	r := newRegister()
+	for i := range 2 * register.MaxServers {
+		r.Depart(ebonyworks.Departure{Server: ebonyworks.ServerID(strconv.Itoa(i)), Incarnation: 1, Leaving: true})
+	}
+	assert.Len(t, r.Departures(), register.MaxServers)
+	named := func(servers ...ebonyworks.Server) *ebonyworks.Configuration {
+		return &ebonyworks.Configuration{Catalogues: []ebonyworks.Catalogue{{Services: []ebonyworks.Service{{Servers: servers}}}}}
+	}
+	r.Retain(named(service.Servers[0]))
+	assert.Empty(t, r.Departures())
+	r.Retain(named(service.Servers...))
+	candidates := r.Candidates(service, searches, "Sapporo", nil)
+	assert.InDelta(t, 1, candidates[0].Share, 1e-9)
+	assert.InDelta(t, 0.1, candidates[1].Share, 1e-9)
+}
+
+// Guards against servers of domains that the route excludes, and against a
+// zero value that panics.
+func TestZeroValueAndDomains(t *testing.T) {
+	var r register.Register
+	candidates := r.Candidates(service, ebonyworks.Route{Domains: []ebonyworks.DomainID{"Hakodate"}}, "Hakodate", nil)
+	require.Len(t, candidates, 1)
+	assert.Equal(t, ebonyworks.Candidate{Server: service.Servers[1], Near: true, Share: 1}, candidates[0])
+	r.Observe(attempt(ebonyworks.AttemptUnreachable, 0, 0, false))
+}
