Add replica selection and its baselines

Two random choices by latency average x (in flight + 1), near servers first unless they are loaded, reports as a tie-break within 10%.

Dividing the cost by the share was ruled out: with two replicas and little load the cold one would get nothing for 10 s and then its full traffic. The share is the probability that the server takes part in a call instead.

--- /dev/null
+++ b/coordination/selection/outstanding/example_test.go
@@ -0,0 +1,14 @@
+package outstanding_test
+
+import (
+	"fmt"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/selection/outstanding"
+)
+
+func Example() {
+	baseline := &outstanding.Least{}
+	fmt.Println(baseline.Select([]ebonyworks.Candidate{{InFlight: 3}, {InFlight: 1}}))
+	// Output: 1 true
+}
--- /dev/null
+++ b/coordination/selection/selection_test.go
@@ -0,0 +1,98 @@
+package selection_test
+
+import (
+	mathrand "math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/coordination/selection/outstanding"
+	"github.com/ebonyworks/ebonyworks/coordination/selection/rotation"
+)
+
+const draws = 4000
+
+func newRandom() *mathrand.Rand { return mathrand.New(mathrand.NewPCG(11, 12)) }
+
+// shares returns the part of the draws that each candidate got.
+func shares(s ebonyworks.Selection, candidates []ebonyworks.Candidate) []float64 {
+	for i := range candidates {
+		candidates[i].Server.ID = ebonyworks.ServerID(strconv.Itoa(i))
+		if candidates[i].Share == 0 {
+			candidates[i].Share = 1
+		}
+	}
+	result := make([]float64, len(candidates))
+	for range draws {
+		if i, ok := s.Select(candidates); ok {
+			result[i] += 1.0 / draws
+		}
+	}
+	return result
+}
+
+// Guards against traffic to stragglers, failing and cold servers, against
+// decisions on misleading reports, and against an overloaded near domain.
+func TestSelect(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name       string
+		candidates []ebonyworks.Candidate
+		want       []float64
+	}{
+		{"none", nil, []float64{}},
+		{"one, failing", []ebonyworks.Candidate{{Failing: true}}, []float64{1}},
+		{"equal", []ebonyworks.Candidate{{Latency: ms}, {Latency: ms}}, []float64{0.5, 0.5}},
+		{"straggler", []ebonyworks.Candidate{{Latency: 10 * ms}, {Latency: ms}}, []float64{0, 1}},
+		{"straggler is used when the other is busy", []ebonyworks.Candidate{{Latency: 3 * ms}, {Latency: ms, InFlight: 5}}, []float64{1, 0}},
+		{"two choices spare the slowest only", []ebonyworks.Candidate{{Latency: ms}, {Latency: 2 * ms}, {Latency: 3 * ms}}, []float64{0.667, 0.333, 0}},
+		{"near first", []ebonyworks.Candidate{{Latency: ms, Near: true}, {Latency: ms}}, []float64{1, 0}},
+		{"near loaded", []ebonyworks.Candidate{{Latency: ms, Near: true, InFlight: 1}, {Latency: ms}}, []float64{0, 1}},
+		{"near straggler", []ebonyworks.Candidate{{Latency: 9 * ms, Near: true}, {Latency: ms}}, []float64{0, 1}},
+		{"free permit first", []ebonyworks.Candidate{{Latency: ms, InFlight: 1, Limit: 1}, {Latency: 3 * ms, InFlight: 1, Limit: 2}}, []float64{0, 1}},
+		{"failing last", []ebonyworks.Candidate{{Latency: ms, Failing: true}, {Latency: 50 * ms, InFlight: 2, Limit: 1}}, []float64{0, 1}},
+		{"all failing", []ebonyworks.Candidate{{Latency: ms, Failing: true}, {Latency: ms, Failing: true}}, []float64{0.5, 0.5}},
+		{"cold gets its share", []ebonyworks.Candidate{{Latency: ms}, {Latency: ms, Share: 0.1}}, []float64{0.95, 0.05}},
+		{"cold and failing", []ebonyworks.Candidate{{Latency: ms, Failing: true}, {Share: 0.1}}, []float64{0, 1}},
+		{"all cold", []ebonyworks.Candidate{{Share: 0.1}, {Share: 0.1}}, []float64{0.5, 0.5}},
+		{"unknown latency is neutral", []ebonyworks.Candidate{{Latency: ms}, {}}, []float64{0.5, 0.5}},
+		{"report breaks a tie", []ebonyworks.Candidate{{Latency: ms, SlotsBusy: 2, Queued: 4}, {Latency: ms, SlotsBusy: 1}}, []float64{0, 1}},
+		{"report can't outweigh observation", []ebonyworks.Candidate{{Latency: ms, SlotsBusy: 2, Queued: 400}, {Latency: 2 * ms}}, []float64{1, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			assert.InDeltaSlice(t, test.want, shares(selection.New(newRandom()), test.candidates), 0.03)
+			assert.InDeltaSlice(t, test.want, shares(&selection.Selector{}, test.candidates), 0.03)
+		})
+	}
+}
+
+// Guards against baselines that are weaker than their name says, which would
+// flatter the comparison.
+func TestBaselines(t *testing.T) {
+	candidates := []ebonyworks.Candidate{{InFlight: 1, Latency: 1}, {InFlight: 0, Latency: 9}, {InFlight: 0}}
+	assert.InDeltaSlice(t, []float64{1.0 / 3, 1.0 / 3, 1.0 / 3}, shares(&rotation.Rotation{}, candidates), 0.01)
+	assert.InDeltaSlice(t, []float64{0, 0.5, 0.5}, shares(outstanding.New(newRandom()), candidates), 0.03)
+	for _, baseline := range []ebonyworks.Selection{&rotation.Rotation{}, &outstanding.Least{}} {
+		_, ok := baseline.Select(nil)
+		assert.False(t, ok)
+	}
+}
+
+// Guards against a shared counter that sends each of 20 shards to the same
+// one of two replicas in every search.
+func TestRotationAlternatesForEachService(t *testing.T) {
+	r := &rotation.Rotation{}
+	for search := range 4 {
+		for shard := range 20 {
+			i, _ := r.Select([]ebonyworks.Candidate{
+				{Server: ebonyworks.Server{ID: ebonyworks.ServerID(strconv.Itoa(shard))}}, {},
+			})
+			assert.Equal(t, search%2, i)
+		}
+	}
+}
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -145,7 +145,7 @@
 // the attempts in flight; nil means none.
 //
 // When the probe of a failing server is due, one call for a search route gets
-// it as not failing and without latency. Reservations never serve as probes,
+// it as not failing and with the lowest latency, so that it is chosen. Reservations never serve as probes,
 // since a failed one can't be repeated.
 func (r *Register) Candidates(
 	service *ebonyworks.Service,
@@ -433,7 +433,7 @@
 	candidate.Failing = known.failing()
 	if candidate.Failing && mayProbe && r.takeProbe(known, now) {
 		candidate.Failing = false
-		candidate.Latency = 0
+		candidate.Latency = time.Nanosecond
 	}
 }
 
