--- /dev/null
+++ b/coordination/gradient/example_test.go
@@ -0,0 +1,18 @@
+package gradient_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks/coordination/gradient"
+)
+
+func Example() {
+	limit := gradient.Limit{Start: 4, Max: 10}
+	fmt.Println(limit.Value())
+	limit.Refused(time.Now())
+	fmt.Println(limit.Value())
+	// Output:
+	// 4
+	// 2
+}
