Add the process settings and an example

Settings are read and checked in one place, so that one run lists every mistake. Parser messages are reduced to a position, since they quote the text that they can't read, which may be a secret. A test that formats secrets with unsuitable verbs showed that fmt follows one pointer in unexported fields, so the secret is kept behind two.

--- a/event/process.go
+++ b/event/process.go
@@ -6,8 +6,18 @@
 const (
 	// ProcessStarted is recorded when a process has read its settings and listens.
 	ProcessStarted ebonyworks.EventID = 1001
+	// SettingsReloaded is recorded when reloaded settings are in force.
+	SettingsReloaded ebonyworks.EventID = 1002
+	// SettingsRefused is recorded for each mistake in reloaded settings.
+	SettingsRefused ebonyworks.EventID = 1003
+	// SettingsNeedRestart is recorded when reloaded settings differ in fields
+	// that a reload doesn't change.
+	SettingsNeedRestart ebonyworks.EventID = 1004
 )
 
 var processEntries = []Entry{
 	{ID: ProcessStarted, Level: Info, Message: "process started", Action: "None."},
+	{ID: SettingsReloaded, Level: Info, Message: "settings reloaded", Action: "None."},
+	{ID: SettingsRefused, Level: Error, Message: "reloaded settings are refused", Action: "Correct the settings at the stated place and reload; the earlier ones stay in force."},
+	{ID: SettingsNeedRestart, Level: Warning, Message: "changed settings need a restart", Action: "Restart the host to apply the named fields."},
 }
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,126 @@
+// Package settings reads and validates the process settings of an entry host.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// Defaults of optional settings.
+const (
+	// DefaultBodyBytes bounds the body of a caller's request.
+	DefaultBodyBytes = 64 << 10
+	// DefaultSearchesInFlight bounds the searches that a host runs at a time.
+	DefaultSearchesInFlight = 256
+	// DefaultQueue bounds the requests that wait for admission.
+	DefaultQueue = 1024
+	// DefaultStopBound is longer than the longest deadline of the shipped
+	// routes, so that a planned stop interrupts no request.
+	DefaultStopBound = 30 * time.Second
+)
+
+// Settings are the settings of one process of ebonyd.
+type Settings struct {
+	Host   ebonyworks.HostID
+	Domain ebonyworks.DomainID
+	// Region may be empty.
+	Region ebonyworks.RegionID
+	// Callers is where the host accepts callers' requests.
+	Callers netip.AddrPort
+	// Peers is where the host accepts peers. Peers are told this address.
+	Peers netip.AddrPort
+	// Admin is where the host serves metrics and its state. The zero value
+	// means that there is no such listener.
+	Admin netip.AddrPort
+	// Platform is the address of the configuration service and host list.
+	Platform netip.AddrPort
+	// Seeds are the peers' addresses of hosts to contact first. The host's own
+	// address may be among them.
+	Seeds []netip.AddrPort
+	// TicketKeys has at least one element. The first signs tickets, and all
+	// verify them. Their ids are unique.
+	TicketKeys []TicketKey
+	Traces     Traces
+	Limits     Limits
+	// StopBound is the longest time that a planned stop takes.
+	StopBound time.Duration
+	Log       Log
+}
+
+// TicketKey is a key that signs or verifies tickets.
+type TicketKey struct {
+	ID     string
+	Secret Secret
+}
+
+// Traces tells where traces go.
+type Traces struct {
+	Exporter TraceExporter
+	// File is set for TracesFile.
+	File string
+	// Endpoint is the URL of the collector for TracesOTLP.
+	Endpoint string
+}
+
+// TraceExporter is a way to export traces.
+type TraceExporter int
+
+const (
+	// TracesNone exports no traces.
+	TracesNone TraceExporter = iota
+	// TracesStdout writes traces to standard output.
+	TracesStdout
+	// TracesFile appends traces to a file.
+	TracesFile
+	// TracesOTLP sends traces to a collector with OTLP over HTTP.
+	TracesOTLP
+)
+
+// Limits bound the work that a host takes on. Zero values mean the defaults.
+type Limits struct {
+	// BodyBytes bounds the body of one request.
+	BodyBytes int
+	// SearchesInFlight bounds the searches that run at a time.
+	SearchesInFlight int
+	// Queue bounds the requests that wait for admission.
+	Queue int
+}
+
+// Log tells where log lines go.
+type Log struct {
+	Output LogOutput
+	// File is set for LogFile.
+	File string
+}
+
+// LogOutput is a destination of log lines.
+type LogOutput int
+
+const (
+	// LogStderr writes to standard error.
+	LogStderr LogOutput = iota
+	// LogStdout writes to standard output.
+	LogStdout
+	// LogFile appends to a file.
+	LogFile
+)
+
+// WithDefaults returns the settings with defaults in place of zero limits and
+// a zero stop bound.
+func (s Settings) WithDefaults() Settings {
+	if s.Limits.BodyBytes == 0 {
+		s.Limits.BodyBytes = DefaultBodyBytes
+	}
+	if s.Limits.SearchesInFlight == 0 {
+		s.Limits.SearchesInFlight = DefaultSearchesInFlight
+	}
+	if s.Limits.Queue == 0 {
+		s.Limits.Queue = DefaultQueue
+	}
+	if s.StopBound == 0 {
+		s.StopBound = DefaultStopBound
+	}
+	return s
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,156 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/settings"
+)
+
+const secret = "0123456789-secret-0123456789-secret"
+
+const required = `"Host": "entry-1", "Domain": "San José", "Callers": "0.0.0.0:8080", "Peers": "127.0.0.1:8180", "Platform": "127.0.0.1:7000"`
+
+func load(t *testing.T, text string) (settings.Settings, []ebonyworks.Problem) {
+	directory := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(directory, "key"), []byte(secret+"\n"), 0o600))
+	path := filepath.Join(directory, "ebonyd.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return settings.Load(path)
+}
+
+// Guards against an example that doesn't load, or that shows other defaults
+// than those in force.
+func TestExample(t *testing.T) {
+	got, problems := settings.Load("../examples/ebonyd.json")
+	require.Empty(t, problems)
+	assert.Equal(t, ebonyworks.HostID("entry-1"), got.Host)
+	assert.Empty(t, (settings.Settings{}).WithDefaults().RestartNeeded(settings.Settings{
+		Traces: got.Traces, Limits: got.Limits, StopBound: got.StopBound, Log: got.Log,
+	}))
+}
+
+// Guards against fields that are lost, and against missing defaults.
+func TestLoad(t *testing.T) {
+	got, problems := load(t, `{`+required+`, "Region": "Valle", "Admin": "127.0.0.1:9", "Seeds": ["127.0.0.1:8181"],
+		"TicketKeys": [{"ID": "b", "SecretFile": "key"}, {"ID": "a", "Secret": "`+secret+`x"}],
+		"Traces": {"Exporter": "OTLP", "Endpoint": "http://127.0.0.1:4318"}, "Limits": {"Queue": 5}, "Log": {"Output": "File", "File": "/tmp/log"}}`)
+	require.Empty(t, problems)
+	want := settings.Settings{
+		Host: "entry-1", Domain: "San José", Region: "Valle",
+		Callers:  netip.MustParseAddrPort("0.0.0.0:8080"),
+		Peers:    netip.MustParseAddrPort("127.0.0.1:8180"),
+		Admin:    netip.MustParseAddrPort("127.0.0.1:9"),
+		Platform: netip.MustParseAddrPort("127.0.0.1:7000"),
+		Seeds:    []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:8181")},
+		TicketKeys: []settings.TicketKey{
+			{ID: "b", Secret: settings.NewSecret([]byte(secret))},
+			{ID: "a", Secret: settings.NewSecret([]byte(secret + "x"))},
+		},
+		Traces:    settings.Traces{Exporter: settings.TracesOTLP, Endpoint: "http://127.0.0.1:4318"},
+		Limits:    settings.Limits{BodyBytes: 64 << 10, SearchesInFlight: 256, Queue: 5},
+		StopBound: 30 * time.Second,
+		Log:       settings.Log{Output: settings.LogFile, File: "/tmp/log"},
+	}
+	assert.True(t, want.TicketKeys[0].Secret.Equal(got.TicketKeys[0].Secret))
+	assert.Equal(t, []byte(secret), got.TicketKeys[0].Secret.Reveal())
+	assert.Equal(t, want, got)
+	rotated := got
+	rotated.TicketKeys = rotated.TicketKeys[1:]
+	assert.Empty(t, got.RestartNeeded(rotated))
+	rotated.Domain, rotated.Limits.Queue = "x", 6
+	assert.Equal(t, []string{"Domain", "Limits"}, got.RestartNeeded(rotated))
+}
+
+// Guards against mistakes that pass, are listed twice, or appear one per run.
+func TestLoadListsMistakes(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       []ebonyworks.Problem
+	}{
+		{"several", `{"Host": "", "Domain": 4, "Callers": "localhost:80", "Peers": "0.0.0.0:1", "Admin": "0.0.0.0:1", "Seeds": ["127.0.0.1:0", "[::]:4"],
+			"TicketKeys": [{"ID": "a", "SecretFile": "none"}, {"ID": "a", "Secret": "short"}, {"ID": " b"}, {"ID": "c", "Secret": "x", "SecretFile": "key"}],
+			"Traces": {"Exporter": "File", "Endpoint": "x"}, "Limits": {"BodyBytes": -1, "SearchesInFlight": -2, "Queue": "3"}, "StopBound": "-1s",
+			"Log": {"Output": "Stdout", "File": "f"}, "Port": 1}`, []ebonyworks.Problem{
+			{Place: "Domain", Message: "must be a string"},
+			{Place: "Callers", Message: `must be an IP address and port such as "127.0.0.1:8080", not "localhost:80"`},
+			{Place: "Seeds[0]", Message: `must be an IP address and port such as "127.0.0.1:8080", not "127.0.0.1:0"`},
+			{Place: "Limits.Queue", Message: "must be an integer"},
+			{Place: "Port", Message: "unknown field"},
+			{Place: "Platform", Message: "is missing"},
+			{Place: "Host", Message: "must not be empty"},
+			{Place: "Seeds[1]", Message: "must name one address, not [::]:4"},
+			{Place: "TicketKeys[0].SecretFile", Message: `"none" can't be read: no such file or directory`},
+			{Place: "TicketKeys[1].ID", Message: `key "a" appears twice`},
+			{Place: "TicketKeys[1].Secret", Message: "must have at least 32 bytes, not 5"},
+			{Place: "TicketKeys[2].ID", Message: `must hold printable characters and no white space at its ends: " b"`},
+			{Place: "TicketKeys[2]", Message: "must have Secret or SecretFile"},
+			{Place: "TicketKeys[3]", Message: "must have Secret or SecretFile, not both"},
+			{Place: "Traces.File", Message: `is needed if Traces.Exporter is "File"`},
+			{Place: "Traces.Endpoint", Message: `is allowed only if Traces.Exporter is "OTLP"`},
+			{Place: "Limits.BodyBytes", Message: "must not be negative, not -1"},
+			{Place: "Limits.SearchesInFlight", Message: "must not be negative, not -2"},
+			{Place: "Log.File", Message: `is allowed only if Log.Output is "File"`},
+			{Place: "StopBound", Message: "must not be negative, not -1s"},
+			{Place: "Peers", Message: "must name one address, not 0.0.0.0:1"},
+			{Place: "Admin", Message: "must differ from Peers, 0.0.0.0:1"},
+		}},
+		{"choices", `{` + required + `, "TicketKeys": [], "Traces": {"Exporter": "x"}, "Log": {"Output": "x"}}`, []ebonyworks.Problem{
+			{Place: "Traces.Exporter", Message: `must be "None", "Stdout", "File" or "OTLP"`},
+			{Place: "Log.Output", Message: `must be "Stderr", "Stdout" or "File"`},
+			{Place: "TicketKeys", Message: "must list at least one key"},
+		}},
+		{"cut", `{`, []ebonyworks.Problem{{Message: "unexpected end of the document at line 1, column 2"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, problems := load(t, test.text)
+			assert.Equal(t, test.want, problems)
+		})
+	}
+	_, problems := settings.Load(filepath.Join(t.TempDir(), "none"))
+	assert.Equal(t, []ebonyworks.Problem{{Message: "can't be read: no such file or directory"}}, problems)
+}
+
+// Guards against secrets in logs, in encoded settings and in error messages.
+func TestSecretsAreNotShown(t *testing.T) {
+	key := settings.TicketKey{ID: "a", Secret: settings.NewSecret([]byte(secret))}
+	whole := settings.Settings{TicketKeys: []settings.TicketKey{key}}
+	hidden := struct{ inner settings.Settings }{whole}
+	encoded, err := json.Marshal(whole)
+	require.NoError(t, err)
+	shown := []string{string(encoded), key.Secret.String()}
+	for _, format := range []string{"%v", "%+v", "%#v", "%s", "%q", "%x", "%d"} {
+		shown = append(shown, fmt.Sprintf(format, key), fmt.Sprintf(format, &whole), fmt.Sprintf(format, hidden), fmt.Sprintf(format, key.Secret))
+	}
+	texts := []string{
+		`{` + required + `, "TicketKeys": [{"ID": "a", "Secret": "` + secret + `" "x"}]}`,
+		`{` + required + `, "TicketKeys": [{"ID": "a", "Secret": ` + secret + `}]}`,
+		`{` + required + `, "TicketKeys": [{"ID": "a", "Secret": "\q` + secret + `"}]}`,
+		`{` + required + `, "TicketKeys": [{"ID": "a", "Secret": ["` + secret + `"]}]}`,
+		`{` + required + `, "TicketKeys": ["` + secret + `"]}`,
+		`{` + required + `, "TicketKeys": [{"ID": "a", "Secret": "` + secret + `", "SecretFile": "` + `key"}]}`,
+		`{` + required + `, "TicketKeys": [{"ID": "a", "Secret": "` + secret[:20] + `"}]}`,
+		`{` + required + `, "TicketKeys": [], "Traces": {"Exporter": "OTLP", "Endpoint": "http://a:` + secret + `@h"}}`,
+		`{` + required + `, "TicketKeys": [], "Traces": {"Exporter": "OTLP", "Endpoint": "%` + secret + `"}}`,
+	}
+	for _, text := range texts {
+		_, problems := load(t, text)
+		assert.NotEmpty(t, problems)
+		shown = append(shown, fmt.Sprint(problems))
+	}
+	for _, text := range shown {
+		assert.NotContains(t, text, secret[:10])
+		assert.NotContains(t, text, fmt.Sprintf("%x", secret[:10]))
+		assert.NotContains(t, text, "48 49 50 51")
+	}
+}
--- /dev/null
+++ b/settings/wire.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/ebonyworks/ebonyworks/document"
+)
+
+type settingsWire struct {
+	Host       string
+	Domain     string
+	Region     string `json:",omitempty"`
+	Callers    addressWire
+	Peers      addressWire
+	Admin      addressWire `json:",omitzero"`
+	Platform   addressWire
+	Seeds      []addressWire `json:",omitempty"`
+	TicketKeys []ticketKeyWire
+	Traces     tracesWire        `json:",omitzero"`
+	Limits     limitsWire        `json:",omitzero"`
+	StopBound  document.Duration `json:",omitzero"`
+	Log        logWire           `json:",omitzero"`
+}
+
+type ticketKeyWire struct {
+	ID         string
+	Secret     string `json:",omitempty"`
+	SecretFile string `json:",omitempty"`
+}
+
+type tracesWire struct {
+	Exporter exporterWire
+	File     string `json:",omitempty"`
+	Endpoint string `json:",omitempty"`
+}
+
+type limitsWire struct {
+	BodyBytes        int `json:",omitempty"`
+	SearchesInFlight int `json:",omitempty"`
+	Queue            int `json:",omitempty"`
+}
+
+type logWire struct {
+	Output outputWire
+	File   string `json:",omitempty"`
+}
+
+type addressWire netip.AddrPort
+
+func (a *addressWire) UnmarshalText(text []byte) error {
+	address, err := netip.ParseAddrPort(string(text))
+	if err != nil || address.Port() == 0 {
+		return fmt.Errorf("must be an IP address and port such as \"127.0.0.1:8080\", not %q", text)
+	}
+	*a = addressWire(address)
+	return nil
+}
+
+type exporterWire TraceExporter
+
+func (e *exporterWire) UnmarshalText(text []byte) error {
+	switch string(text) {
+	case "None":
+		*e = exporterWire(TracesNone)
+	case "Stdout":
+		*e = exporterWire(TracesStdout)
+	case "File":
+		*e = exporterWire(TracesFile)
+	case "OTLP":
+		*e = exporterWire(TracesOTLP)
+	default:
+		return errors.New(`must be "None", "Stdout", "File" or "OTLP"`)
+	}
+	return nil
+}
+
+type outputWire LogOutput
+
+func (o *outputWire) UnmarshalText(text []byte) error {
+	switch string(text) {
+	case "Stderr":
+		*o = outputWire(LogStderr)
+	case "Stdout":
+		*o = outputWire(LogStdout)
+	case "File":
+		*o = outputWire(LogFile)
+	default:
+		return errors.New(`must be "Stderr", "Stdout" or "File"`)
+	}
+	return nil
+}
