Add the codec of the backend servers' protocol

The host and the stand-in server need one mapping between the domain types and JSON. encoding/json accepts names in any case, merges repeated names and replaces invalid UTF-8; a garbled reply could then decode into plausible rows, so the decoder checks names and encoding as well.

--- /dev/null
+++ b/protocol/shelfmark/codec.go
@@ -0,0 +1,118 @@
+// Package shelfmark maps the JSON of the backend servers' protocol from and to
+// the domain types. The protocol is described in docs/backend-protocol.md.
+package shelfmark
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+	"unicode/utf8"
+)
+
+const (
+	// SearchPath is the path of searches.
+	SearchPath = "/v1/search"
+	// ReservePath is the path of reservations.
+	ReservePath = "/v1/reserve"
+	// StatusPath is the path of status queries.
+	StatusPath = "/v1/status"
+	// ContentType is the media type of all bodies.
+	ContentType = "application/json"
+)
+
+const (
+	// DefaultMaxRequestBytes bounds the body of a request.
+	DefaultMaxRequestBytes = 64 << 10
+	// DefaultMaxReplyBytes bounds the body of a reply.
+	DefaultMaxReplyBytes = 4 << 20
+	// MaxFields bounds the filters or fields of a request and the fields of a row.
+	MaxFields = 256
+	// MaxSnapshots bounds the snapshots in a report.
+	MaxSnapshots = 256
+	// MaxRetryAfter bounds the time that a refusal may ask to wait.
+	MaxRetryAfter = time.Hour
+	// MaxRemaining bounds the remaining time in a request.
+	MaxRemaining = 10 * time.Minute
+)
+
+// Codec encodes and decodes requests and replies. The zero value uses the
+// default limits.
+type Codec struct {
+	// MaxRequestBytes and MaxReplyBytes bound the bodies that are decoded;
+	// zero means the default.
+	MaxRequestBytes int
+	MaxReplyBytes   int
+}
+
+// Reply is the status and the complete body of an HTTP reply.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// MalformedError explains why a body doesn't follow the protocol.
+type MalformedError struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *MalformedError) Error() string { return "malformed body: " + e.Reason }
+
+// RequestLimit returns the largest body of a request in bytes.
+func (c Codec) RequestLimit() int {
+	if c.MaxRequestBytes > 0 {
+		return c.MaxRequestBytes
+	}
+	return DefaultMaxRequestBytes
+}
+
+// ReplyLimit returns the largest body of a reply in bytes.
+func (c Codec) ReplyLimit() int {
+	if c.MaxReplyBytes > 0 {
+		return c.MaxReplyBytes
+	}
+	return DefaultMaxReplyBytes
+}
+
+// decode reads exactly one JSON object into the wire struct. encoding/json
+// matches names regardless of case, lets a repeated name overwrite parts of
+// the earlier value and replaces invalid UTF-8, so these are checked here: a
+// garbled reply must not decode into plausible rows.
+func decode(body []byte, limit int, wire any) error {
+	if len(body) > limit {
+		return &MalformedError{Reason: "too large"}
+	}
+	if !utf8.Valid(body) {
+		return &MalformedError{Reason: "invalid UTF-8"}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(wire); err != nil {
+		return &MalformedError{Reason: err.Error()}
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return &MalformedError{Reason: "data after the object"}
+	}
+	if !exactNames(body) {
+		return &MalformedError{Reason: "name repeated or in the wrong case"}
+	}
+	return nil
+}
+
+// encode marshals a wire struct. Wire structs hold only strings, integers and
+// slices of these, which always marshal.
+func encode(wire any) []byte {
+	body, err := json.Marshal(wire)
+	if err != nil {
+		panic("shelfmark: wire struct can't be marshalled: " + err.Error())
+	}
+	return body
+}
+
+func milliseconds(d time.Duration) int64 {
+	if d <= 0 {
+		return 0
+	}
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/protocol/shelfmark/fuzz_test.go
@@ -0,0 +1,75 @@
+package shelfmark_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/shelfmark"
+)
+
+// Guards against replies that crash the decoder, and against accepted replies
+// for something else than what was sent.
+func FuzzDecodeAnswer(f *testing.F) {
+	var codec shelfmark.Codec
+	f.Add(http.StatusOK, codec.EncodeAnswer(answer, "").Body)
+	f.Add(http.StatusServiceUnavailable, codec.EncodeAnswer(ebonyworks.SubAnswer{Result: ebonyworks.AttemptShed, Request: "r1", Shard: "s01", Report: report}, "").Body)
+	f.Add(http.StatusOK, []byte(`{"Rows":[{"Key":"a\`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		reply := shelfmark.Reply{Status: status, Body: body}
+		got := codec.DecodeAnswer(reply, search, server)
+		if got.Result != ebonyworks.AttemptServed {
+			assert.Empty(t, got.Rows)
+			return
+		}
+		assert.Equal(t, http.StatusOK, status)
+		assert.Equal(t, search.Request, got.Request)
+		assert.Equal(t, search.Snapshot, got.Snapshot)
+		assert.Equal(t, search.Shard, got.Shard)
+		again := codec.DecodeAnswer(codec.EncodeAnswer(got, ""), search, server)
+		assert.Equal(t, got, again)
+	})
+}
+
+// Guards against confirmations and reports that crash the decoder or that
+// prove a refusal without a code of the protocol.
+func FuzzDecodeConfirmation(f *testing.F) {
+	var codec shelfmark.Codec
+	f.Add(http.StatusOK, codec.EncodeConfirmation(confirmation, "").Body)
+	f.Add(http.StatusOK, codec.EncodeReport(report).Body)
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		reply := shelfmark.Reply{Status: status, Body: body}
+		got := codec.DecodeConfirmation(reply, reservation, server)
+		if got.Result.ProvesNotRun() {
+			assert.Contains(t, []int{http.StatusServiceUnavailable, http.StatusBadRequest}, status)
+		}
+		decoded, result := codec.DecodeReport(reply, server)
+		if result == ebonyworks.AttemptServed {
+			again, _ := codec.DecodeReport(codec.EncodeReport(decoded), server)
+			assert.Equal(t, decoded, again)
+		}
+	})
+}
+
+// Guards against requests that crash a server's decoder.
+func FuzzDecodeRequests(f *testing.F) {
+	var codec shelfmark.Codec
+	f.Add(codec.EncodeSearch(shelfmark.SearchRequest{Search: search, Remaining: time.Second}))
+	f.Add(codec.EncodeReservation(shelfmark.ReserveRequest{Reservation: reservation, Remaining: time.Second}))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if request, err := codec.DecodeSearch(body); err == nil {
+			again, err := codec.DecodeSearch(codec.EncodeSearch(request))
+			require.NoError(t, err)
+			assert.Equal(t, request, again)
+		}
+		if request, err := codec.DecodeReservation(body); err == nil {
+			again, err := codec.DecodeReservation(codec.EncodeReservation(request))
+			require.NoError(t, err)
+			assert.Equal(t, request, again)
+		}
+	})
+}
