Add the HTTP/2 client of backend servers

A reservation may run at most once, so nothing below the coordination packages may resend. net/http's Transport replays requests in some cases (refused streams, GOAWAY, closed idle connections); http.ClientConn never does and gives one connection per lane, so it is used instead. A connection is used only after its first byte from the server, since a server closes connections beyond its cap after accepting them. The request body records whether any of it was read, which proves without a race that a request can't have run.

--- a/event/server.go
+++ b/event/server.go
@@ -2,12 +2,22 @@
 
 import "github.com/ebonyworks/ebonyworks"
 
-// Events of backend servers and policy, numbered from 6001.
+// Events of backend servers and policy, numbered from 6001; those of the
+// client of backend servers from 6501.
 const (
 	// ServerLeaving is recorded when a backend server is taken out of use because it is leaving.
 	ServerLeaving ebonyworks.EventID = 6001
+	// ServerUnreachable is recorded for the first connection to a backend server that fails after one that was opened.
+	ServerUnreachable ebonyworks.EventID = 6501
+	// ServerReachable is recorded when a connection is opened after one that failed.
+	ServerReachable ebonyworks.EventID = 6502
+	// ServerReplyInvalid is recorded for an invalid reply, at most once a second for each backend server.
+	ServerReplyInvalid ebonyworks.EventID = 6503
 )
 
 var serverEntries = []Entry{
 	{ID: ServerLeaving, Level: Info, Message: "backend server is leaving", Action: "None."},
+	{ID: ServerUnreachable, Level: Warning, Message: "backend server is unreachable", Action: "Check the server if it should be running."},
+	{ID: ServerReachable, Level: Info, Message: "backend server is reachable again", Action: "None."},
+	{ID: ServerReplyInvalid, Level: Warning, Message: "reply of backend server is invalid", Action: "Check the version and the address of the server."},
 }
--- a/protocol/shelfmark/codec.go
+++ b/protocol/shelfmark/codec.go
@@ -105,7 +105,7 @@
 func encode(wire any) []byte {
 	body, err := json.Marshal(wire)
 	if err != nil {
-		panic("shelfmark: wire struct can't be marshalled: " + err.Error())
+		panic("shelfmark: wire struct can't be encoded: " + err.Error())
 	}
 	return body
 }
--- a/protocol/shelfmark/codec_test.go
+++ b/protocol/shelfmark/codec_test.go
@@ -115,7 +115,7 @@
 		"escaped name":        replace(`"Rows"`, `"\u0052ows"`),
 		"repeated":            replace(`"Rows":[`, `"Rows":[],"Rows":[`),
 		"invalid UTF-8":       replace("7N", "7\xff"),
-		"null rows":           body[:strings.Index(body, `"Rows":`)] + `"Rows":null,` + body[strings.Index(body, `"Report":`):],
+		"null rows":           strings.Split(body, `"Rows":`)[0] + `"Rows":null,"Report":` + strings.Split(body, `"Report":`)[1],
 		"other request":       replace(`"r1"`, `"r9"`),
 		"other snapshot":      replace(`"Number":5`, `"Number":6`),
 		"other epoch":         replace(`"Epoch":2`, `"Epoch":1`),
--- /dev/null
+++ b/transport/stockroom/client_test.go
@@ -0,0 +1,268 @@
+package stockroom_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/shelfmark"
+	"github.com/ebonyworks/ebonyworks/transport/stockroom"
+)
+
+var (
+	codec       shelfmark.Codec
+	service     = &ebonyworks.Service{ID: "s", ConnectionCap: 40}
+	// reservation needs two DATA frames, so that a server can close while it
+	// reads the body.
+	reservation = ebonyworks.SubReservation{
+		Request: "r", Catalogue: "c", Shard: "s1", Key: "k",
+		Fields: []ebonyworks.Field{{Name: "Note", Value: strings.Repeat("n", 20<<10)}},
+	}
+	search      = ebonyworks.SubSearch{Request: "r", Catalogue: "c", Shard: "s1", Snapshot: ebonyworks.Snapshot{Number: 1, Epoch: 1}}
+	report      = ebonyworks.ServerReport{Server: "a", Incarnation: 1}
+)
+
+// confirm returns the body of a confirmation with the result.
+func confirm(result ebonyworks.AttemptResult, request ebonyworks.RequestID) string {
+	return string(codec.EncodeConfirmation(ebonyworks.SubConfirmation{
+		Result: result, Request: request, Shard: "s1", Report: report,
+	}, "").Body)
+}
+
+// Guards against a reservation that runs twice, and against a caller that is
+// told "not run" about one that ran: whatever the server does, it receives one
+// request at most, and a result that proves that nothing ran is returned only
+// if the server didn't execute it.
+func TestSentOnce(t *testing.T) {
+	good := confirm(ebonyworks.AttemptServed, "r")
+	large := strings.Repeat(" ", 8192)
+	// executes tells whether the server acts on a request received in full.
+	cases := []struct {
+		name     string
+		script   script
+		executes bool
+		want     ebonyworks.AttemptResult
+	}{
+		{"served", script{body: reply(200, len(good), good, true, nil)}, true, ebonyworks.AttemptServed},
+		{"connection closed when accepted", script{accepted: hangUp}, false, ebonyworks.AttemptUnreachable},
+		{"connection never greeted", script{accepted: freeze}, false, ebonyworks.AttemptUnreachable},
+		{"closed while reading", script{data: hangUp}, false, ebonyworks.AttemptLost},
+		{"closed after reading", script{body: hangUp}, true, ebonyworks.AttemptLost},
+		{"closed during reply", script{body: reply(200, len(good), good[:20], false, hangUp)}, true, ebonyworks.AttemptLost},
+		{"refused stream before reading", script{header: reset(http2.ErrCodeRefusedStream)}, false, ebonyworks.AttemptShed},
+		{"refused stream after reading", script{body: reset(http2.ErrCodeRefusedStream)}, false, ebonyworks.AttemptShed},
+		{"refused stream during reply", script{body: reply(200, len(good), good[:20], false, reset(http2.ErrCodeRefusedStream))}, true, ebonyworks.AttemptInvalid},
+		{"stream reset", script{body: reset(http2.ErrCodeInternal)}, true, ebonyworks.AttemptInvalid},
+		{"GOAWAY below the stream", script{header: goAway(-1, nil)}, false, ebonyworks.AttemptDraining},
+		{"GOAWAY below the stream, closed", script{body: goAway(-1, hangUp)}, false, ebonyworks.AttemptDraining},
+		{"GOAWAY with the stream, closed", script{body: goAway(0, hangUp)}, true, ebonyworks.AttemptLost},
+		{"GOAWAY with the stream, served", script{body: goAway(0, reply(200, len(good), good, true, nil))}, true, ebonyworks.AttemptServed},
+		{"reply shorter than its length", script{body: reply(200, len(good), good[:20], true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"reply cut off without length", script{body: reply(200, -1, good[:20], true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"reply too large", script{body: reply(200, -1, good+large, true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"length too large", script{body: reply(200, 1<<40, good, false, nil)}, true, ebonyworks.AttemptInvalid},
+		{"redirect", script{body: reply(307, -1, good, true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"other request", script{body: reply(200, -1, confirm(ebonyworks.AttemptServed, "q"), true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"shed", script{body: reply(503, -1, confirm(ebonyworks.AttemptShed, "r"), true, nil)}, false, ebonyworks.AttemptShed},
+		{"refused before reading", script{header: reply(503, -1, confirm(ebonyworks.AttemptDraining, "r"), true, nil)}, false, ebonyworks.AttemptDraining},
+		{"shed another request", script{body: reply(503, -1, confirm(ebonyworks.AttemptShed, "q"), true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"503 without code", script{body: reply(503, -1, "overloaded", true, nil)}, true, ebonyworks.AttemptInvalid},
+		{"no reply", script{}, true, ebonyworks.AttemptTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			raw := newRawServer(t, c.script)
+			client := stockroom.NewClient(stockroom.Options{
+				Codec: shelfmark.Codec{MaxReplyBytes: 4096}, DialTimeout: 200 * time.Millisecond,
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+			defer cancel()
+			got := client.Reserve(ctx, service, raw.server(), reservation)
+			assert.Equal(t, c.want, got.Result)
+			client.Close()
+			raw.stop()
+			assert.LessOrEqual(t, raw.headers, 1, "requests begun")
+			assert.LessOrEqual(t, raw.complete, 1, "requests received")
+			if c.executes {
+				assert.Equal(t, 1, raw.complete)
+				assert.False(t, got.Result.ProvesNotRun())
+			}
+		})
+	}
+}
+
+// Guards against results that claim too much when the server closes the
+// connection while the request is being written: depending on what was written
+// by then, the attempt is unreachable or lost.
+func TestClosedWhileWriting(t *testing.T) {
+	for _, script := range []script{{greeted: hangUp}, {header: hangUp}} {
+		raw := newRawServer(t, script)
+		client := stockroom.NewClient(stockroom.Options{})
+		got := client.Reserve(t.Context(), service, raw.server(), reservation)
+		assert.Contains(t, []ebonyworks.AttemptResult{ebonyworks.AttemptLost, ebonyworks.AttemptUnreachable}, got.Result)
+		client.Close()
+		raw.stop()
+		assert.LessOrEqual(t, raw.headers, 1)
+		assert.Zero(t, raw.complete)
+	}
+}
+
+// Guards against a status query, which has no body, that is replayed.
+func TestStatusSentOnce(t *testing.T) {
+	raw := newRawServer(t, script{body: reset(http2.ErrCodeRefusedStream)})
+	client := stockroom.NewClient(stockroom.Options{})
+	_, result := client.Status(t.Context(), service, raw.server())
+	assert.Equal(t, ebonyworks.AttemptShed, result)
+	client.Close()
+	raw.stop()
+	assert.Equal(t, 1, raw.headers)
+}
+
+// Guards against losing attempts that keep a slot of the server, and against
+// a request that is sent although its caller has gone.
+func TestCancellation(t *testing.T) {
+	raw := newRawServer(t, script{})
+	client := stockroom.NewClient(stockroom.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-raw.arrived
+		cancel()
+	}()
+	assert.Equal(t, ebonyworks.AttemptCancelled, client.Search(ctx, service, raw.server(), search).Result)
+	<-raw.reset
+	assert.Equal(t, ebonyworks.AttemptCancelled, client.Search(ctx, service, raw.server(), search).Result)
+	past, cancelPast := context.WithTimeout(t.Context(), -time.Second)
+	defer cancelPast()
+	assert.Equal(t, ebonyworks.AttemptExpired, client.Search(past, service, raw.server(), search).Result)
+	client.Close()
+	raw.stop()
+	assert.Equal(t, 1, raw.headers)
+	assert.Equal(t, 1, raw.resets, "stream resets")
+	assert.Equal(t, ebonyworks.AttemptUnreachable, client.Search(t.Context(), service, raw.server(), search).Result)
+}
+
+// Guards against waiting for a server that is dead but whose connection is
+// still open.
+func TestDeadPeer(t *testing.T) {
+	raw := newRawServer(t, script{body: freeze})
+	client := stockroom.NewClient(stockroom.Options{PingInterval: 20 * time.Millisecond, PingTimeout: 20 * time.Millisecond})
+	defer client.Close()
+	assert.Equal(t, ebonyworks.AttemptLost, client.Search(t.Context(), service, raw.server(), search).Result)
+}
+
+// Guards against a remaining time that differs from the deadline.
+func TestDeadlineTravels(t *testing.T) {
+	raw := newRawServer(t, script{body: hangUp})
+	client := stockroom.NewClient(stockroom.Options{})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	client.Search(ctx, service, raw.server(), search)
+	client.Close()
+	raw.stop()
+	require.Len(t, raw.bodies, 1)
+	got, err := codec.DecodeSearch(raw.bodies[0])
+	require.NoError(t, err)
+	assert.Equal(t, search, got.Search)
+	assert.InDelta(t, time.Minute, got.Remaining, float64(10*time.Second))
+}
+
+// counted is a server that counts its connections and holds requests until it
+// is released.
+type counted struct {
+	server       ebonyworks.Server
+	opened, open atomic.Int32
+	// running receives an element per request; release lets all continue.
+	running, release chan struct{}
+}
+
+func newCounted(t *testing.T) *counted {
+	c := &counted{running: make(chan struct{}, 64), release: make(chan struct{})}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c.server = ebonyworks.Server{ID: "a", Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+	server := &http.Server{Handler: c, Protocols: protocols, ConnState: c.note}
+	done := make(chan struct{})
+	go func() {
+		_ = server.Serve(listener)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+	return c
+}
+
+func (c *counted) note(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.opened.Add(1)
+		c.open.Add(1)
+	case http.StateClosed:
+		c.open.Add(-1)
+	}
+}
+
+// ServeHTTP confirms after the release.
+func (c *counted) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.running <- struct{}{}
+	<-c.release
+	_, _ = w.Write([]byte(confirm(ebonyworks.AttemptServed, "r")))
+}
+
+// Guards against hosts that use up the connection cap of a server, and against
+// connections that are kept to servers which left the configuration.
+func TestConnections(t *testing.T) {
+	cases := []struct{ cap, wanted, want int }{{25, 0, 1}, {25, 4, 1}, {40, 4, 2}, {4, 4, 1}, {110, 4, 4}}
+	for _, c := range cases {
+		server := newCounted(t)
+		client := stockroom.NewClient(stockroom.Options{ConnectionsPerServer: c.wanted})
+		capped := &ebonyworks.Service{ID: "s", ConnectionCap: c.cap}
+		const requests = 32
+		var attempts sync.WaitGroup
+		for range requests {
+			attempts.Go(func() {
+				got := client.Reserve(t.Context(), capped, server.server, reservation)
+				assert.Equal(t, ebonyworks.AttemptServed, got.Result)
+			})
+		}
+		for range requests {
+			<-server.running
+		}
+		assert.EqualValues(t, c.want, server.opened.Load(), "cap %d", c.cap)
+		client.Retain([]ebonyworks.Server{{ID: "a", Address: server.server.Address}})
+		assert.EqualValues(t, c.want, server.open.Load())
+		client.Retain(nil)
+		close(server.release)
+		attempts.Wait()
+		assert.Eventually(t, func() bool { return server.open.Load() == 0 }, 10*time.Second, time.Millisecond)
+		client.Close()
+	}
+}
+
+// Guards against a client that never returns to a server that was restarted.
+func TestReconnects(t *testing.T) {
+	good := confirm(ebonyworks.AttemptServed, "r")
+	raw := newRawServer(t, script{body: reply(200, len(good), good, true, hangUp)})
+	client := stockroom.NewClient(stockroom.Options{})
+	defer client.Close()
+	served := 0
+	for attempt := 0; attempt < 100 && served < 3; attempt++ {
+		if client.Reserve(t.Context(), service, raw.server(), reservation).Result == ebonyworks.AttemptServed {
+			served++
+		}
+	}
+	assert.Equal(t, 3, served)
+}
