--- a/transport/stockroom/client_test.go
+++ b/transport/stockroom/client_test.go
@@ -20,16 +20,16 @@
 )
 
 var (
-	codec       shelfmark.Codec
-	service     = &ebonyworks.Service{ID: "s", ConnectionCap: 40}
+	codec   shelfmark.Codec
+	service = &ebonyworks.Service{ID: "s", ConnectionCap: 40}
 	// reservation needs two DATA frames, so that a server can close while it
 	// reads the body.
 	reservation = ebonyworks.SubReservation{
 		Request: "r", Catalogue: "c", Shard: "s1", Key: "k",
 		Fields: []ebonyworks.Field{{Name: "Note", Value: strings.Repeat("n", 20<<10)}},
 	}
-	search      = ebonyworks.SubSearch{Request: "r", Catalogue: "c", Shard: "s1", Snapshot: ebonyworks.Snapshot{Number: 1, Epoch: 1}}
-	report      = ebonyworks.ServerReport{Server: "a", Incarnation: 1}
+	search = ebonyworks.SubSearch{Request: "r", Catalogue: "c", Shard: "s1", Snapshot: ebonyworks.Snapshot{Number: 1, Epoch: 1}}
+	report = ebonyworks.ServerReport{Server: "a", Incarnation: 1}
 )
 
 // confirm returns the body of a confirmation with the result.
