--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,250 @@
+// Package entry assembles an entry host from the coordination packages. It
+// reaches the outside through the interfaces of the root package only, so that
+// tests and other programs can run a whole host on transports of their own.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/admission"
+	"github.com/ebonyworks/ebonyworks/coordination/bulletin"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+	"github.com/ebonyworks/ebonyworks/coordination/guild"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/quota"
+	"github.com/ebonyworks/ebonyworks/coordination/reservation"
+	"github.com/ebonyworks/ebonyworks/coordination/search"
+	"github.com/ebonyworks/ebonyworks/coordination/ticket"
+	"github.com/ebonyworks/ebonyworks/state/catalogue"
+	"github.com/ebonyworks/ebonyworks/state/edition"
+	"github.com/ebonyworks/ebonyworks/state/ledger"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+// Options are what a host needs. Tracer, Recorder and Observer may be nil.
+type Options struct {
+	Self ebonyworks.Host
+	// Seeds are peers' addresses of hosts to contact first.
+	Seeds []netip.AddrPort
+	// Keys sign and verify tickets; the first one signs.
+	Keys      []ticket.Key
+	Backend   ebonyworks.Backend
+	Platform  ebonyworks.Platform
+	Peer      ebonyworks.Peer
+	Documents ebonyworks.Documents
+	// HeadKey is the key of the head on the configuration service.
+	HeadKey ebonyworks.Key
+	// PartKey returns the key of a part by its name.
+	PartKey func(name string) ebonyworks.Key
+	Policy  Policy
+	// Seed makes the random choices of the host reproducible.
+	Seed     uint64
+	Tracer   trace.Tracer
+	Recorder ebonyworks.Recorder
+	Observer ebonyworks.Observer
+}
+
+// Host is an entry host. Use New, then Run.
+type Host struct {
+	options    Options
+	meter      *bulletin.Meter
+	edition    *edition.Edition
+	bulletin   *bulletin.Bulletin
+	guild      *guild.Guild
+	departures *departure.Tracker
+	register   *register.Register
+	catalogue  *catalogue.Catalogue
+	quota      *quota.Table
+	policy     policy
+	inspector  *inspection.Inspector
+	office     *ticket.Office
+	searches   *search.Coordinator
+	runner     *reservation.Runner
+	// reports bounds the crash reports that are being sent.
+	reports chan struct{}
+	// started is when Run was called, in nanoseconds since the epoch.
+	started  atomic.Int64
+	stopping atomic.Bool
+	// background are goroutines that Run waits for.
+	background sync.WaitGroup
+}
+
+// New assembles a host. It fails if no usable ticket key is given.
+func New(options Options) (*Host, error) {
+	h := &Host{
+		options:   options,
+		meter:     bulletin.NewMeter(options.Platform),
+		edition:   &edition.Edition{},
+		catalogue: &catalogue.Catalogue{},
+		quota:     quota.New(1),
+		reports:   make(chan struct{}, maxReports),
+	}
+	office, err := ticket.NewOffice(options.Self.ID, options.Self.Incarnation, options.Keys, h.random(officeStream))
+	if err != nil {
+		return nil, errors.Wrap(err, "create the ticket office")
+	}
+	h.office = office
+	h.register = &register.Register{Random: h.random(registerStream), Recorder: options.Recorder}
+	h.policy = newPolicy(options.Policy, h.random(selectionStream))
+	h.inspector = &inspection.Inspector{Publish: h.publishCrashes, Recorder: options.Recorder}
+	h.assembleMembership()
+	h.assembleWork()
+	return h, nil
+}
+
+// Streams separate the random choices of the parts, so that a change in one
+// doesn't shift those of the others.
+const (
+	officeStream = iota + 1
+	registerStream
+	selectionStream
+	guildStream
+	bulletinStream
+	admissionStream
+)
+
+func (h *Host) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(h.options.Seed, stream))
+}
+
+func (h *Host) assembleMembership() {
+	h.guild = guild.New(guild.Config{
+		Self:       h.options.Self,
+		Seeds:      h.options.Seeds,
+		Peer:       h.options.Peer,
+		Platform:   h.meter,
+		Random:     h.random(guildStream),
+		Recorder:   h.options.Recorder,
+		ReadsOften: func() bool { return h.bulletin.ReadsOften() },
+	})
+	h.bulletin = bulletin.New(bulletin.Config{
+		Self:      h.options.Self.ID,
+		HeadKey:   h.options.HeadKey,
+		PartKey:   h.options.PartKey,
+		Platform:  h.meter,
+		Peer:      h.options.Peer,
+		Documents: h.options.Documents,
+		Fellows:   h.guild,
+		Edition:   h.edition,
+		Random:    h.random(bulletinStream),
+		Recorder:  h.options.Recorder,
+	})
+	h.departures = departure.New(departure.Config{
+		Hasten:   h.guild.Hasten,
+		Recorder: h.options.Recorder,
+	})
+	h.guild.Attach(h.bulletin)
+	h.guild.Attach(h.departures)
+	h.guild.Attach(guild.CrashCarrier{Book: crashBook{h.inspector}})
+	h.guild.Attach(doubter{h})
+}
+
+func (h *Host) assembleWork() {
+	servers := &servers{host: h}
+	gate := admission.New(h.random(admissionStream))
+	h.searches = &search.Coordinator{
+		Backend:    h.options.Backend,
+		Editions:   editions{h},
+		Directory:  servers,
+		Catalogue:  h.catalogue,
+		Selection:  h.policy.selection,
+		Hedging:    h.policy.hedging,
+		Quota:      h.quota,
+		Inspection: h.inspector,
+		Admission:  gate,
+		Tracer:     h.options.Tracer,
+		Recorder:   h.options.Recorder,
+		Observer:   h.options.Observer,
+	}
+	h.runner = reservation.New(reservation.Settings{
+		Host:          h.options.Self.ID,
+		Incarnation:   h.options.Self.Incarnation,
+		Configuration: h.edition.Current,
+		Tickets:       h.office,
+		Ledger:        &ledger.Ledger{},
+		Hosts:         hosts{h},
+		Peer:          h.options.Peer,
+		Servers:       servers,
+		Backend:       observedBackend{Backend: h.options.Backend, host: h},
+		Selection:     h.policy.selection,
+		Quota:         h.quota,
+		Inspection:    h.inspector,
+		Admission:     gate,
+		Hedging:       h.policy.hedging,
+		Recorder:      h.options.Recorder,
+	})
+}
+
+// Run keeps the host going until the context ends, and returns when all of its
+// work has stopped. Call Stop before the context ends for a planned stop.
+func (h *Host) Run(ctx context.Context) {
+	h.started.Store(time.Now().UnixNano())
+	for _, loop := range []func(context.Context){h.guild.Run, h.bulletin.Run, h.askServers, h.followConfiguration} {
+		h.background.Add(1)
+		go func() {
+			defer h.background.Done()
+			loop(ctx)
+		}()
+	}
+	<-ctx.Done()
+	h.background.Wait()
+}
+
+// BeginStop makes the host not ready, so that the load balancer sends no more
+// requests. Requests that arrive are still answered.
+func (h *Host) BeginStop() { h.stopping.Store(true) }
+
+// Stop ends the reservations, hands the ledger to peers and leaves the
+// membership. Requests of callers must have ended before.
+func (h *Host) Stop(ctx context.Context) error {
+	h.BeginStop()
+	err := h.runner.Close(ctx)
+	h.guild.Leave(ctx)
+	return err
+}
+
+// SetKeys replaces the keys of tickets.
+func (h *Host) SetKeys(keys []ticket.Key) error { return h.office.SetKeys(keys) }
+
+// Search answers a search.
+func (h *Host) Search(ctx context.Context, search ebonyworks.Search) ebonyworks.SearchOutcome {
+	return h.searches.Search(ctx, search)
+}
+
+// Route returns the route in force with the id.
+func (h *Host) Route(id ebonyworks.RouteID) (ebonyworks.Route, bool) {
+	configuration := h.edition.Current()
+	if configuration == nil {
+		return ebonyworks.Route{}, false
+	}
+	return configuration.Route(id)
+}
+
+// IssueTicket returns a signed token for one reservation.
+func (h *Host) IssueTicket(ctx context.Context) (string, ebonyworks.TicketClaims, *ebonyworks.Refusal) {
+	return h.runner.IssueTicket(ctx)
+}
+
+// Reserve runs the reservation or returns the outcome of its earlier copy.
+func (h *Host) Reserve(ctx context.Context, reservation ebonyworks.Reservation) ebonyworks.Outcome {
+	start := time.Now()
+	outcome := h.runner.Reserve(ctx, reservation)
+	if h.options.Observer != nil {
+		h.options.Observer.ReservationEnded(reservation.Route, outcome, time.Since(start))
+	}
+	return outcome
+}
+
+// Outcome returns the outcome of the reservation with the ticket.
+func (h *Host) Outcome(ctx context.Context, ticket string) ebonyworks.Outcome {
+	return h.runner.Outcome(ctx, ticket)
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+)
+
+const (
+	// maxReports bounds the crash reports that are sent at a time. Exchanges
+	// carry those that are left out.
+	maxReports = 32
+	// reportTimeout bounds the sending of crash reports to one host.
+	reportTimeout = 500 * time.Millisecond
+)
+
+var _ ebonyworks.PeerHandler = (*Host)(nil)
+
+// HandleExchange answers the probe of another host.
+func (h *Host) HandleExchange(ctx context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	return h.guild.HandleExchange(ctx, message)
+}
+
+// HandleRelay probes a host for another host.
+func (h *Host) HandleRelay(ctx context.Context, target netip.AddrPort) (bool, error) {
+	return h.guild.HandleRelay(ctx, target)
+}
+
+// HandleFetchHead returns the bytes of the head in force.
+func (h *Host) HandleFetchHead(ctx context.Context) ([]byte, error) {
+	return h.bulletin.HandleFetchHead(ctx)
+}
+
+// HandleFetchPart returns the bytes of a part in force.
+func (h *Host) HandleFetchPart(ctx context.Context, digest ebonyworks.Digest) ([]byte, error) {
+	return h.bulletin.HandleFetchPart(ctx, digest)
+}
+
+// HandleReserve runs a reservation that another host forwarded.
+func (h *Host) HandleReserve(ctx context.Context, to ebonyworks.Host, reservation ebonyworks.Reservation) ebonyworks.Outcome {
+	return h.runner.HandleReserve(ctx, to, reservation)
+}
+
+// HandleOutcome answers a query that another host forwarded.
+func (h *Host) HandleOutcome(ctx context.Context, to ebonyworks.Host, ticket string) ebonyworks.Outcome {
+	return h.runner.HandleOutcome(ctx, to, ticket)
+}
+
+// HandleHandOver keeps the ledger of a stopped host.
+func (h *Host) HandleHandOver(ctx context.Context, ledger ebonyworks.ClosedLedger) error {
+	return h.runner.HandleHandOver(ctx, ledger)
+}
+
+// HandleReport learns the crash reports of another host.
+func (h *Host) HandleReport(_ context.Context, reports []ebonyworks.CrashReport) error {
+	h.inspector.Merge(reports)
+	return nil
+}
+
+// publishCrashes sends crash reports to all peers without waiting for the next
+// exchange: the caller of the request may send it to another host at once.
+func (h *Host) publishCrashes(reports []ebonyworks.CrashReport) {
+	for _, peer := range h.guild.Alive() {
+		select {
+		case h.reports <- struct{}{}:
+		default:
+			return
+		}
+		h.background.Add(1)
+		go func() {
+			defer h.background.Done()
+			defer func() { <-h.reports }()
+			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+			defer cancel()
+			// A peer that can't be reached learns it from an exchange later.
+			_ = h.options.Peer.Report(ctx, peer.Address, reports)
+		}()
+	}
+}
+
+// crashBook gives the reports of the inspection to exchanges.
+type crashBook struct {
+	inspector *inspection.Inspector
+}
+
+// Reports returns the reports worth sending.
+func (b crashBook) Reports() []ebonyworks.CrashReport { return b.inspector.Reports() }
+
+// Learn takes the reports of another host.
+func (b crashBook) Learn(reports []ebonyworks.CrashReport) { b.inspector.Merge(reports) }
+
+// doubter marks the facts about servers as stale after a pause of the process.
+type doubter struct {
+	host *Host
+}
+
+// Contribute adds nothing.
+func (d doubter) Contribute(*ebonyworks.Exchange, int) {}
+
+// Absorb learns nothing.
+func (d doubter) Absorb(ebonyworks.Exchange, time.Time) {}
+
+// Doubt marks what is known of servers as stale.
+func (d doubter) Doubt() { d.host.register.MarkStale(time.Now()) }
--- /dev/null
+++ b/entry/policy.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging/fixed"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging/never"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/coordination/selection/outstanding"
+	"github.com/ebonyworks/ebonyworks/coordination/selection/rotation"
+)
+
+// fixedHedgeDelay is about the p95 of the stand-in's service time with one
+// connection's distance.
+const fixedHedgeDelay = 12 * time.Millisecond
+
+// Policy selects how replicas are chosen and when attempts are hedged. All but
+// Adaptive are baselines for experiments.
+type Policy int
+
+const (
+	// Adaptive chooses by own observation and hedges within budgets.
+	Adaptive Policy = iota
+	// RoundRobin takes replicas in turn and never hedges.
+	RoundRobin
+	// LeastOutstanding takes the replica with the fewest attempts in flight and
+	// never hedges.
+	LeastOutstanding
+	// FixedHedge chooses like Adaptive and hedges after a fixed delay without a
+	// budget.
+	FixedHedge
+)
+
+type policy struct {
+	selection ebonyworks.Selection
+	hedging   ebonyworks.Hedging
+}
+
+func newPolicy(kind Policy, random *rand.Rand) policy {
+	switch kind {
+	case RoundRobin:
+		return policy{selection: &rotation.Rotation{}, hedging: never.Hedging{}}
+	case LeastOutstanding:
+		return policy{selection: &outstanding.Selector{}, hedging: never.Hedging{}}
+	case FixedHedge:
+		return policy{selection: selection.New(random), hedging: fixed.Delay(fixedHedgeDelay)}
+	default:
+		return policy{selection: selection.New(random), hedging: &hedging.Budget{}}
+	}
+}
