--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+PEER = protocol/dispatch/ebonyworks/peer/v1
 BUF = go tool -modfile=tools/go.mod buf
 # Tests with a known fault, listed in KNOWN-RED.txt: the first word of each
 # entry that starts with "Test".
@@ -24,6 +25,7 @@
 
 generate:
 	$(BUF) generate
+	cd $(PEER) && sha256sum peer.proto peer.pb.go peerv1connect/peer.connect.go > generated.sha256
 
 demo: build
 	bash examples/demo
