--- /dev/null
+++ b/daemon/process.go
@@ -0,0 +1,336 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/ticket"
+	"github.com/ebonyworks/ebonyworks/entry"
+	"github.com/ebonyworks/ebonyworks/event"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/settings"
+	"github.com/ebonyworks/ebonyworks/telemetry"
+	"github.com/ebonyworks/ebonyworks/transport/counter"
+	"github.com/ebonyworks/ebonyworks/transport/courier"
+	"github.com/ebonyworks/ebonyworks/transport/noticeboard"
+	"github.com/ebonyworks/ebonyworks/transport/stockroom"
+)
+
+const (
+	// balancerTime is how long the host keeps answering after it is no longer
+	// ready, so that the load balancer notices before connections are refused.
+	balancerTime = time.Second
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of a whole request.
+	bodyTimeout = 10 * time.Second
+	// idleTimeout is when an idle connection of a caller is closed.
+	idleTimeout = 2 * time.Minute
+	// sampleRatio is the share of traces that are kept when traces are exported.
+	sampleRatio = 1.0
+	// flushTimeout bounds the sending of buffered traces at the end.
+	flushTimeout = 2 * time.Second
+)
+
+// process is one run of the daemon.
+type process struct {
+	path     string
+	settings settings.Settings
+	out      io.Writer
+
+	recorder  *event.Recorder
+	telemetry *telemetry.Telemetry
+	backend   *stockroom.Client
+	peers     *courier.Client
+	host      *entry.Host
+	// listeners are open from listen until the end of the run.
+	callers, members, admin net.Listener
+	// closers are closed last, in reverse order.
+	closers []io.Closer
+}
+
+// run starts the host and stops it gracefully when the context ends.
+func (p *process) run(ctx context.Context) error {
+	defer p.close()
+	if err := p.open(ctx); err != nil {
+		return err
+	}
+	hostCtx, stopHost := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHost()
+	hostDone := make(chan struct{})
+	go func() {
+		defer close(hostDone)
+		p.host.Run(hostCtx)
+	}()
+	callers := p.callerServer()
+	members := courier.NewServer(p.host)
+	failed := make(chan error, 3)
+	go func() { failed <- ignoreClosed(callers.Serve(p.callers)) }()
+	go func() { failed <- members.Serve(p.members) }()
+	if p.admin != nil {
+		admin := p.adminServer()
+		defer admin.Close()
+		go func() { failed <- ignoreClosed(admin.Serve(p.admin)) }()
+	}
+	p.recorder.Record(event.New(event.ProcessStarted,
+		event.Attribute("Host", string(p.settings.Host)),
+		event.Attribute("Callers", p.settings.Callers.String()),
+		event.Attribute("Peers", p.settings.Peers.String())))
+	p.reloadOnHangup(hostCtx)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	err := p.stop(callers, members)
+	stopHost()
+	<-hostDone
+	return err
+}
+
+// stop is a planned stop: not ready at first, then no new requests, then the
+// ledger goes to peers, and the host leaves the membership.
+func (p *process) stop(callers *http.Server, members *courier.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopBound)
+	defer cancel()
+	p.recorder.Record(event.New(event.ProcessStopping, event.Attribute("Host", string(p.settings.Host))))
+	p.host.BeginStop()
+	wait(ctx, balancerTime)
+	var failures []error
+	if err := callers.Shutdown(ctx); err != nil {
+		failures = append(failures, errors.Wrap(err, "stop serving callers"))
+	}
+	if err := p.host.Stop(ctx); err != nil {
+		failures = append(failures, errors.Wrap(err, "hand over the ledger"))
+	}
+	if err := members.Shutdown(ctx); err != nil {
+		failures = append(failures, errors.Wrap(err, "stop serving peers"))
+	}
+	p.recorder.Record(event.New(event.ProcessStopped, event.Attribute("Host", string(p.settings.Host))))
+	return errors.Join(failures...)
+}
+
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// open creates everything that can fail before the host starts.
+func (p *process) open(ctx context.Context) error {
+	logs, err := p.logWriter()
+	if err != nil {
+		return err
+	}
+	p.recorder = event.NewRecorder(logs)
+	traces, err := p.traceWriter()
+	if err != nil {
+		return err
+	}
+	p.telemetry, err = telemetry.New(ctx, telemetry.Options{
+		Process:     "ebonyd",
+		Host:        p.settings.Host,
+		TraceWriter: traces,
+		Endpoint:    p.settings.Traces.Endpoint,
+		SampleRatio: sampleRatio,
+	})
+	if err != nil {
+		return err
+	}
+	if err := p.listen(); err != nil {
+		return err
+	}
+	return p.assemble()
+}
+
+func (p *process) assemble() error {
+	keys, err := ticketKeys(p.settings)
+	if err != nil {
+		return err
+	}
+	p.backend = stockroom.NewClient(stockroom.Options{Recorder: p.recorder})
+	p.peers = courier.NewClient(nil)
+	options := entry.Options{
+		Self: ebonyworks.Host{
+			ID: p.settings.Host,
+			// A later start has a later time, so incarnations increase.
+			Incarnation: ebonyworks.Incarnation(time.Now().UnixNano()),
+			Address:     p.settings.Peers,
+			Domain:      p.settings.Domain,
+			Region:      p.settings.Region,
+		},
+		Seeds:     p.seeds(),
+		Keys:      keys,
+		Backend:   p.backend,
+		Platform:  noticeboard.NewClient(noticeboard.Options{Address: p.settings.Platform}),
+		Peer:      p.peers,
+		Documents: notice.Codec{},
+		HeadKey:   notice.HeadKey,
+		PartKey:   notice.PartKey,
+		Policy:    hostPolicy(p.settings.Policy),
+		Seed:      uint64(time.Now().UnixNano()),
+		Recorder:  p.recorder,
+		Observer:  p.telemetry,
+	}
+	if p.settings.Traces.Exporter != settings.TracesNone {
+		options.Tracer = p.telemetry.Tracer()
+	}
+	p.host, err = entry.New(options)
+	return err
+}
+
+func (p *process) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, seed := range p.settings.Seeds {
+		if seed != p.settings.Peers {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+func hostPolicy(policy settings.Policy) entry.Policy {
+	switch policy {
+	case settings.PolicyRoundRobin:
+		return entry.RoundRobin
+	case settings.PolicyLeastOutstanding:
+		return entry.LeastOutstanding
+	case settings.PolicyFixedHedge:
+		return entry.FixedHedge
+	default:
+		return entry.Adaptive
+	}
+}
+
+func ticketKeys(loaded settings.Settings) ([]ticket.Key, error) {
+	var keys []ticket.Key
+	for _, key := range loaded.TicketKeys {
+		created, err := ticket.NewKey(key.ID, key.Secret.Reveal())
+		if err != nil {
+			return nil, errors.Wrapf(err, "ticket key %q", key.ID)
+		}
+		keys = append(keys, created)
+	}
+	return keys, nil
+}
+
+func (p *process) callerServer() *http.Server {
+	api := &counter.Counter{
+		Searcher:     p.host,
+		Reserver:     p.host,
+		Status:       p.host,
+		Routes:       p.host,
+		MaxBodyBytes: int64(p.settings.Limits.BodyBytes),
+	}
+	return &http.Server{
+		Handler:           api.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+func (p *process) adminServer() *http.Server {
+	routes := http.NewServeMux()
+	routes.Handle("GET /metrics", p.telemetry.MetricsHandler())
+	return &http.Server{Handler: routes, ReadHeaderTimeout: headerTimeout}
+}
+
+func (p *process) listen() error {
+	var err error
+	if p.callers, err = net.Listen("tcp", p.settings.Callers.String()); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if p.members, err = net.Listen("tcp", p.settings.Peers.String()); err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	if !p.settings.Admin.IsValid() {
+		return nil
+	}
+	if p.admin, err = net.Listen("tcp", p.settings.Admin.String()); err != nil {
+		return errors.Wrap(err, "listen for administration")
+	}
+	return nil
+}
+
+// reloadOnHangup replaces the ticket keys on SIGHUP. Invalid settings change
+// nothing.
+func (p *process) reloadOnHangup(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				p.reload()
+			}
+		}
+	}()
+}
+
+func (p *process) reload() {
+	loaded, problems := settings.Load(p.path)
+	if len(problems) > 0 {
+		p.recorder.Record(event.New(event.SettingsRefused,
+			event.Attribute("Problems", strconv.Itoa(len(problems))),
+			event.Attribute("First", problems[0].Place+": "+problems[0].Message)))
+		return
+	}
+	keys, err := ticketKeys(loaded)
+	if err == nil {
+		err = p.host.SetKeys(keys)
+	}
+	if err != nil {
+		p.recorder.Record(event.New(event.SettingsRefused, event.Attribute("First", err.Error())))
+		return
+	}
+	p.recorder.Record(event.New(event.SettingsReloaded, event.Attribute("Keys", strconv.Itoa(len(keys)))))
+}
+
+func (p *process) close() {
+	if p.telemetry != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		// A collector that is down must not fail the stop.
+		_ = p.telemetry.Shutdown(ctx)
+		cancel()
+	}
+	if p.backend != nil {
+		p.backend.Close()
+	}
+	if p.peers != nil {
+		p.peers.Close()
+	}
+	for _, listener := range []net.Listener{p.callers, p.members, p.admin} {
+		if listener != nil {
+			// It is closed already after a planned stop.
+			_ = listener.Close()
+		}
+	}
+	for _, closer := range p.closers {
+		_ = closer.Close()
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -12,11 +12,11 @@
 	host *Host
 }
 
-// Candidates returns the servers that may get new work. Facts without an
-// incarnation can be wrong for a later life of the server, so they never take
-// out the last servers of a service.
+// Candidates returns the servers that may get new work. Failing servers are
+// probed by status requests only, so that no search waits for a probe.
 func (s *servers) Candidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
 	h := s.host
+	route.Kind = ebonyworks.ReservationRoute
 	all := h.register.Candidates(service, route, h.options.Self.Domain, h.quota)
 	usable := all[:0]
 	for _, candidate := range all {
--- a/event/process.go
+++ b/event/process.go
@@ -13,6 +13,10 @@
 	// SettingsNeedRestart is recorded when reloaded settings differ in fields
 	// that a reload doesn't change.
 	SettingsNeedRestart ebonyworks.EventID = 1004
+	// ProcessStopping is recorded when a planned stop begins.
+	ProcessStopping ebonyworks.EventID = 1005
+	// ProcessStopped is recorded when a planned stop has ended.
+	ProcessStopped ebonyworks.EventID = 1006
 )
 
 var processEntries = []Entry{
@@ -20,4 +24,6 @@
 	{ID: SettingsReloaded, Level: Info, Message: "settings reloaded", Action: "None."},
 	{ID: SettingsRefused, Level: Error, Message: "reloaded settings are refused", Action: "Correct the settings at the stated place and reload; the earlier ones stay in force."},
 	{ID: SettingsNeedRestart, Level: Warning, Message: "changed settings need a restart", Action: "Restart the host to apply the named fields."},
+	{ID: ProcessStopping, Level: Info, Message: "process is stopping", Action: "None."},
+	{ID: ProcessStopped, Level: Info, Message: "process stopped", Action: "None."},
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -80,6 +80,7 @@
 		TicketKeys: l.ticketKeys(wire.TicketKeys),
 		Traces:     l.traces(wire.Traces),
 		Limits:     l.limits(wire.Limits),
+		Policy:     Policy(wire.Policy),
 		StopBound:  time.Duration(wire.StopBound),
 		Log:        l.log(wire.Log),
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,8 +47,26 @@
 	// StopBound is the longest time that a planned stop takes.
 	StopBound time.Duration
 	Log       Log
+	// Policy is how replicas are chosen; all but PolicyAdaptive are baselines
+	// for experiments.
+	Policy Policy
 }
 
+// Policy is a way to choose replicas and to hedge.
+type Policy int
+
+const (
+	// PolicyAdaptive chooses by own observation and hedges within budgets.
+	PolicyAdaptive Policy = iota
+	// PolicyRoundRobin takes replicas in turn and never hedges.
+	PolicyRoundRobin
+	// PolicyLeastOutstanding takes the replica with the fewest attempts in
+	// flight and never hedges.
+	PolicyLeastOutstanding
+	// PolicyFixedHedge hedges after a fixed delay without a budget.
+	PolicyFixedHedge
+)
+
 // TicketKey is a key that signs or verifies tickets.
 type TicketKey struct {
 	ID     string
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -22,6 +22,7 @@
 	Limits     limitsWire        `json:",omitzero"`
 	StopBound  document.Duration `json:",omitzero"`
 	Log        logWire           `json:",omitzero"`
+	Policy     policyWire        `json:",omitzero"`
 }
 
 type ticketKeyWire struct {
@@ -91,3 +92,21 @@
 	}
 	return nil
 }
+
+type policyWire Policy
+
+func (p *policyWire) UnmarshalText(text []byte) error {
+	switch string(text) {
+	case "Adaptive":
+		*p = policyWire(PolicyAdaptive)
+	case "RoundRobin":
+		*p = policyWire(PolicyRoundRobin)
+	case "LeastOutstanding":
+		*p = policyWire(PolicyLeastOutstanding)
+	case "FixedHedge":
+		*p = policyWire(PolicyFixedHedge)
+	default:
+		return errors.New(`must be "Adaptive", "RoundRobin", "LeastOutstanding" or "FixedHedge"`)
+	}
+	return nil
+}
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -204,6 +204,17 @@
 	return !known.refreshed.After(r.staleBefore) || time.Since(known.refreshed) > StaleAge
 }
 
+// Incarnation returns the last known incarnation of the server, or zero.
+func (r *Register) Incarnation(server ebonyworks.ServerID) ebonyworks.Incarnation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.servers[server]
+	if known == nil {
+		return 0
+	}
+	return known.incarnation
+}
+
 // ReportAge returns the age of the server's last report, or false if it sent
 // none.
 func (r *Register) ReportAge(server ebonyworks.ServerID) (time.Duration, bool) {
@@ -424,6 +435,7 @@
 }
 
 func (r *Register) describe(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
+	candidate.Incarnation = known.incarnation
 	candidate.Latency = known.decayed(now)
 	candidate.Share = known.share(now)
 	if now.Sub(known.lastReport) < reportAge {
