--- a/document/decode_test.go
+++ b/document/decode_test.go
@@ -1,11 +1,13 @@
 package document_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/document"
@@ -68,3 +70,44 @@
 	want := list{Items: []item{{Name: brackets + `"`, Wait: document.Duration(time.Minute)}}, On: true}
 	assert.Equal(t, want, got)
 }
+
+// Guards against a layout that changes values, and against one line for each
+// field, with which a catalogue of the design size exceeds the value limit.
+func TestEncode(t *testing.T) {
+	long := strings.Repeat("x", 160)
+	tests := []struct {
+		value any
+		want  string
+	}{
+		{list{}, `{"Items": null}` + "\n"},
+		{list{Items: []item{{Name: `a":,{<é` + "\n"}}, On: true}, `{"Items": [{"Name": "a\":,{<é\n"}], "On": true}` + "\n"},
+		{list{Items: []item{{Name: long}, {Name: "b", Count: -1}}, Size: 2},
+			"{\n  \"Items\": [\n    {\n      \"Name\": \"" + long + "\"\n    },\n    {\"Name\": \"b\", \"Count\": -1}\n  ],\n  \"Size\": 2\n}\n"},
+	}
+	for _, test := range tests {
+		got, err := document.Encode(test.value)
+		require.NoError(t, err)
+		assert.Equal(t, test.want, string(got))
+		if test.value.(list).Items != nil {
+			var again list
+			assert.Empty(t, document.Decode(got, &again))
+			assert.Equal(t, test.value, again)
+		}
+	}
+}
+
+// Guards against JSON that the layout damages, for any structure.
+func FuzzEncode(f *testing.F) {
+	f.Add([]byte(`{"a":[1,true,null,{"b":"]}\\\""},[],{}],"":{"long":"` + strings.Repeat("x", 160) + `"}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var value any
+		if json.Unmarshal(text, &value) != nil {
+			return
+		}
+		encoded, err := document.Encode(value)
+		require.NoError(t, err)
+		var again any
+		require.NoError(t, json.Unmarshal(encoded, &again))
+		require.Equal(t, value, again)
+	})
+}
--- /dev/null
+++ b/operator/directory.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/document"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+)
+
+// Permissions of published files and directories; they hold no secrets.
+const (
+	filePermissions      = 0o644
+	directoryPermissions = 0o755
+)
+
+// Directory is a directory that holds one file for each value. The path of a
+// file within the directory is its key.
+type Directory string
+
+// Write stores the values of a publication. The head comes last. Files of
+// parts that the head doesn't list stay.
+func (d Directory) Write(publication notice.Publication) error {
+	for _, value := range publication.Values() {
+		path := d.path(value.Key)
+		if err := os.MkdirAll(filepath.Dir(path), directoryPermissions); err != nil {
+			return errors.Wrap(err, "create directory")
+		}
+		if err := os.WriteFile(path, value.Bytes, filePermissions); err != nil {
+			return errors.Wrapf(err, "write value %q", value.Key)
+		}
+	}
+	return nil
+}
+
+// Read returns the publication and its configuration, or every mistake. The
+// error is set if a file can't be read for a reason other than that a listed
+// part doesn't exist.
+func (d Directory) Read() (notice.Publication, *ebonyworks.Configuration, []ebonyworks.Problem, error) {
+	var codec notice.Codec
+	var publication notice.Publication
+	var problems []ebonyworks.Problem
+	bytes, err := os.ReadFile(d.path(notice.HeadKey))
+	if err != nil {
+		return publication, nil, nil, errors.Wrap(err, "read head")
+	}
+	publication.HeadBytes = bytes
+	if publication.Head, problems = codec.Head(bytes); problems != nil {
+		return publication, nil, problems, nil
+	}
+	for i, part := range publication.Head.Parts {
+		bytes, err := os.ReadFile(d.path(notice.PartKey(part.Name)))
+		if errors.Is(err, fs.ErrNotExist) {
+			place := document.Index("Parts", i)
+			problems = append(problems, ebonyworks.Problem{Place: place, Message: "no file for part " + part.Name})
+			continue
+		}
+		if err != nil {
+			return publication, nil, nil, errors.Wrapf(err, "read part %q", part.Name)
+		}
+		publication.Parts = append(publication.Parts, ebonyworks.Part{Name: part.Name, Bytes: bytes})
+	}
+	if problems != nil {
+		return publication, nil, problems, nil
+	}
+	configuration, problems := codec.Assemble(publication.Mark(), publication.Head, publication.Parts)
+	return publication, configuration, problems, nil
+}
+
+func (d Directory) path(key ebonyworks.Key) string {
+	return filepath.Join(string(d), filepath.FromSlash(string(key)))
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -223,7 +223,7 @@
 	l.notNegative("Limits.BodyBytes", wire.BodyBytes)
 	l.notNegative("Limits.SearchesInFlight", wire.SearchesInFlight)
 	l.notNegative("Limits.Queue", wire.Queue)
-	return Limits{BodyBytes: wire.BodyBytes, SearchesInFlight: wire.SearchesInFlight, Queue: wire.Queue}
+	return Limits(wire)
 }
 
 func (l *loader) notNegative(place string, value int) {
