Add the ledger of reservation outcomes

The first insert of a ticket is atomic and NotRun is on record before it is returned. Two marks make the promises independent of the clock: tickets that expire no later than a dropped record are never inserted, and a full ledger seals all unused tickets up to the refused one's expiry, which takes no memory. ClosedLedger gains CompleteAfter, because the absence of a record proves nothing for tickets old enough to have been dropped.

--- a/reservation.go
+++ b/reservation.go
@@ -116,5 +116,10 @@
 type ClosedLedger struct {
 	Host        HostID
 	Incarnation Incarnation
-	Records     []LedgerRecord
+	// CompleteAfter bounds what the absence of a record means: a ticket that
+	// expires after it and isn't in Records never ran. Records of tickets that
+	// expire by then may have been dropped. The zero value means that nothing
+	// is known of absent tickets, so a codec that loses it fails safe.
+	CompleteAfter time.Time
+	Records       []LedgerRecord
 }
--- /dev/null
+++ b/state/ledger/held.go
@@ -0,0 +1,137 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// heldFor is the time that a closed ledger is kept: its last ticket expires
+// at most 30 s after it was closed.
+const heldFor = Retention + 30*time.Second
+
+// ErrNotHeld is returned by Hold if the ledger can't be kept.
+var ErrNotHeld = errors.New("closed ledger not kept")
+
+// heldLedger is the closed ledger of another incarnation.
+type heldLedger struct {
+	ledger ebonyworks.ClosedLedger
+	index  map[ebonyworks.TicketID]int
+	dropAt time.Time
+	bytes  int64
+}
+
+// Hold keeps the closed ledger of another incarnation. A second copy is
+// ignored. An error means that it isn't kept: this ledger is stopped itself,
+// or has no memory left.
+func (l *Ledger) Hold(now time.Time, closed ebonyworks.ClosedLedger) error {
+	size := closedBytes(closed)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(now)
+	if l.stopped {
+		return errors.Wrap(ErrNotHeld, "this host is stopping")
+	}
+	if l.findHeld(closed.Host, closed.Incarnation) != nil {
+		return nil
+	}
+	if l.heldBytes+size > l.maxHeldBytes() {
+		return errors.Wrap(ErrNotHeld, "memory for closed ledgers is used up")
+	}
+	added := &heldLedger{ledger: closed, index: make(map[ebonyworks.TicketID]int, len(closed.Records)), dropAt: now.Add(heldFor), bytes: size}
+	for i, found := range closed.Records {
+		added.index[found.Ticket] = i
+	}
+	l.held = append(l.held, added)
+	l.heldBytes += size
+	return nil
+}
+
+// HeldOutcome returns the outcome of a ticket whose incarnation has handed
+// over its ledger, or false if that ledger isn't held. A ticket that isn't in
+// a closed ledger never ran, unless its record may have been dropped before.
+func (l *Ledger) HeldOutcome(now time.Time, claims ebonyworks.TicketClaims) (ebonyworks.Outcome, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(now)
+	holder := l.findHeld(claims.Host, claims.Incarnation)
+	if holder == nil {
+		return ebonyworks.Outcome{}, false
+	}
+	if i, ok := holder.index[claims.ID]; ok {
+		return holder.ledger.Records[i].Outcome, true
+	}
+	complete := holder.ledger.CompleteAfter
+	if complete.IsZero() || !claims.Expiry.After(complete) {
+		return ebonyworks.Outcome{Code: ebonyworks.CodeRecordDropped, Message: "the time for which outcomes are kept is over"}, true
+	}
+	return notRun(ebonyworks.CodeHostClosed, "the host stopped before the ticket was used"), true
+}
+
+// HeldConflict reports whether a held ledger has the ticket with another body.
+func (l *Ledger) HeldConflict(claims ebonyworks.TicketClaims, fingerprint ebonyworks.Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	holder := l.findHeld(claims.Host, claims.Incarnation)
+	if holder == nil {
+		return false
+	}
+	i, ok := holder.index[claims.ID]
+	if !ok {
+		return false
+	}
+	known := holder.ledger.Records[i].Fingerprint
+	return known != 0 && known != fingerprint
+}
+
+// Held returns the closed ledgers of other incarnations, for a further
+// hand-over.
+func (l *Ledger) Held(now time.Time) []ebonyworks.ClosedLedger {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop(now)
+	var closed []ebonyworks.ClosedLedger
+	for _, holder := range l.held {
+		closed = append(closed, holder.ledger)
+	}
+	return closed
+}
+
+func (l *Ledger) findHeld(host ebonyworks.HostID, incarnation ebonyworks.Incarnation) *heldLedger {
+	for _, holder := range l.held {
+		if holder.ledger.Host == host && holder.ledger.Incarnation == incarnation {
+			return holder
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) dropHeld(now time.Time) {
+	kept := l.held[:0]
+	for _, holder := range l.held {
+		if now.Before(holder.dropAt) {
+			kept = append(kept, holder)
+			continue
+		}
+		l.heldBytes -= holder.bytes
+	}
+	clear(l.held[len(kept):])
+	l.held = kept
+}
+
+func (l *Ledger) maxHeldBytes() int64 {
+	if l.MaxHeldBytes == 0 {
+		return DefaultMaxHeldBytes
+	}
+	return l.MaxHeldBytes
+}
+
+func closedBytes(closed ebonyworks.ClosedLedger) int64 {
+	size := int64(recordBytes)
+	for _, found := range closed.Records {
+		size += recordBytes + resultBytes(found.Outcome)
+	}
+	return size
+}
--- /dev/null
+++ b/state/ledger/ledger_test.go
@@ -0,0 +1,232 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/state/ledger"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func claims(id string, expiry time.Duration) ebonyworks.TicketClaims {
+	return ebonyworks.TicketClaims{ID: ebonyworks.TicketID(id), Host: "entry-1", Incarnation: 1, Expiry: start.Add(expiry)}
+}
+
+var ran = ebonyworks.Outcome{Kind: ebonyworks.OutcomeRan, Code: ebonyworks.CodeDone, Result: []ebonyworks.Field{{Name: "Bundle", Value: "17"}}}
+
+// Guards against tickets that run twice, or run after they were called not
+// run, in each state of the ledger.
+func TestStandings(t *testing.T) {
+	begin := func(l *ledger.Ledger, at time.Duration, fingerprint ebonyworks.Fingerprint) ledger.Standing {
+		return l.Begin(start.Add(at), claims("a", 30*time.Second), fingerprint)
+	}
+	query := func(l *ledger.Ledger, at time.Duration) ledger.Standing {
+		return l.Query(start.Add(at), claims("a", 30*time.Second))
+	}
+	other := func(l *ledger.Ledger, at time.Duration) { l.Begin(start.Add(at), claims("b", at+30*time.Second), 1) }
+	end := 30*time.Second + ledger.Retention
+	cases := []struct {
+		name string
+		do   func(l *ledger.Ledger) ledger.Standing
+		want ledger.Position
+		code ebonyworks.OutcomeCode
+	}{
+		{"first", func(l *ledger.Ledger) ledger.Standing { return begin(l, 0, 1) }, ledger.Started, ""},
+		{"second", func(l *ledger.Ledger) ledger.Standing { begin(l, 0, 1); return begin(l, 1, 1) }, ledger.Running, ""},
+		{"other body", func(l *ledger.Ledger) ledger.Standing { begin(l, 0, 1); return begin(l, 1, 2) }, ledger.Conflict, ""},
+		{"after the run", func(l *ledger.Ledger) ledger.Standing {
+			begin(l, 0, 1)
+			l.Finish("a", ran)
+			return begin(l, time.Minute, 1)
+		}, ledger.Final, ebonyworks.CodeDone},
+		{"second result", func(l *ledger.Ledger) ledger.Standing {
+			begin(l, 0, 1)
+			l.Finish("a", ran)
+			l.Finish("a", ebonyworks.Outcome{Kind: ebonyworks.OutcomeNotRun})
+			return query(l, 1)
+		}, ledger.Final, ebonyworks.CodeDone},
+		{"expired", func(l *ledger.Ledger) ledger.Standing { return begin(l, 30*time.Second, 1) }, ledger.Final, ebonyworks.CodeTicketExpired},
+		{"expired, then the clock steps back", func(l *ledger.Ledger) ledger.Standing { begin(l, time.Minute, 1); return begin(l, 0, 1) }, ledger.Final, ebonyworks.CodeTicketExpired},
+		{"queried", func(l *ledger.Ledger) ledger.Standing { return query(l, 0) }, ledger.Final, ebonyworks.CodeSealed},
+		{"used after a query", func(l *ledger.Ledger) ledger.Standing { query(l, 0); return begin(l, 1, 1) }, ledger.Final, ebonyworks.CodeSealed},
+		{"kept for the retention", func(l *ledger.Ledger) ledger.Standing {
+			begin(l, 0, 1)
+			l.Finish("a", ran)
+			return query(l, end-1)
+		}, ledger.Final, ebonyworks.CodeDone},
+		{"dropped after it", func(l *ledger.Ledger) ledger.Standing {
+			begin(l, 0, 1)
+			l.Finish("a", ran)
+			return query(l, end)
+		}, ledger.Final, ebonyworks.CodeRecordDropped},
+		{"dropped, then the clock steps back", func(l *ledger.Ledger) ledger.Standing {
+			begin(l, 0, 1)
+			l.Finish("a", ran)
+			other(l, end)
+			return begin(l, 0, 1)
+		}, ledger.Final, ebonyworks.CodeRecordDropped},
+		{"running ones aren't dropped", func(l *ledger.Ledger) ledger.Standing { begin(l, 0, 1); return begin(l, end, 1) }, ledger.Running, ""},
+		{"stopped", func(l *ledger.Ledger) ledger.Standing { l.Stop(); return begin(l, 0, 1) }, ledger.Final, ebonyworks.CodeHostClosed},
+		{"closed", func(l *ledger.Ledger) ledger.Standing { l.Close("entry-1", 1); return query(l, 0) }, ledger.Final, ebonyworks.CodeHostClosed},
+		{"finished after close", func(l *ledger.Ledger) ledger.Standing {
+			begin(l, 0, 1)
+			l.Close("entry-1", 1)
+			l.Finish("a", ran)
+			return query(l, 1)
+		}, ledger.Final, ebonyworks.CodeDone},
+		{"full", func(l *ledger.Ledger) ledger.Standing { l.MaxBytes = 1; return begin(l, 0, 1) }, ledger.Final, ebonyworks.CodeOverloaded},
+		{"refused as full, room later", func(l *ledger.Ledger) ledger.Standing {
+			l.MaxBytes = 20_000
+			other(l, -time.Second)
+			begin(l, 0, 1)
+			l.Finish("b", ran)
+			return begin(l, 1, 1)
+		}, ledger.Final, ebonyworks.CodeOverloaded},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			got := test.do(&ledger.Ledger{})
+			assert.Equal(t, test.want, got.Position)
+			assert.Equal(t, test.code, got.Outcome.Code)
+			if got.Position == ledger.Final {
+				assert.Equal(t, test.code == ebonyworks.CodeRecordDropped, got.Outcome.Kind == ebonyworks.OutcomeUnknown)
+			}
+		})
+	}
+}
+
+// Guards against a second runner when copies arrive together.
+func TestOneCopyStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book ledger.Ledger
+		var started, served atomic.Int32
+		var copies sync.WaitGroup
+		for range 20 {
+			copies.Go(func() {
+				if book.Begin(start, claims("a", time.Second), 1).Position == ledger.Started {
+					started.Add(1)
+					time.Sleep(time.Second)
+					book.Finish("a", ran)
+				}
+				outcome, ok := book.Wait(context.Background(), "a")
+				if ok && outcome.Kind == ebonyworks.OutcomeRan {
+					served.Add(1)
+				}
+			})
+		}
+		copies.Wait()
+		assert.EqualValues(t, 1, started.Load())
+		assert.EqualValues(t, 20, served.Load())
+	})
+}
+
+// Guards against waiters that outlive their caller.
+func TestWaitEndsWithContext(t *testing.T) {
+	var book ledger.Ledger
+	book.Begin(start, claims("a", time.Second), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, ok := book.Wait(ctx, "a")
+	assert.False(t, ok)
+	_, ok = book.Wait(context.Background(), "unseen")
+	assert.False(t, ok)
+}
+
+// Guards against wrong answers for an incarnation that handed over.
+func TestHeldLedger(t *testing.T) {
+	var owner, peer ledger.Ledger
+	dropped := claims("dropped", time.Second)
+	owner.Begin(start, dropped, 1)
+	owner.Finish("dropped", ran)
+	now := start.Add(ledger.Retention + time.Minute)
+	fresh := ledger.Retention + 80*time.Second
+	for _, id := range []string{"ran", "open"} {
+		owner.Begin(now, claims(id, fresh), 5)
+	}
+	owner.Finish("ran", ran)
+	closed := owner.Close("entry-1", 1)
+	require.NoError(t, peer.Hold(now, closed))
+	require.NoError(t, peer.Hold(now, closed), "a second copy is ignored")
+	assert.Len(t, peer.Held(now), 1)
+	cases := []struct {
+		claims ebonyworks.TicketClaims
+		kind   ebonyworks.OutcomeKind
+		code   ebonyworks.OutcomeCode
+	}{
+		{claims("ran", fresh), ebonyworks.OutcomeRan, ebonyworks.CodeDone},
+		{claims("open", fresh), ebonyworks.OutcomeUnknown, ebonyworks.CodeRunning},
+		{claims("unused", fresh), ebonyworks.OutcomeNotRun, ebonyworks.CodeHostClosed},
+		{dropped, ebonyworks.OutcomeUnknown, ebonyworks.CodeRecordDropped},
+	}
+	for _, test := range cases {
+		outcome, ok := peer.HeldOutcome(now, test.claims)
+		assert.True(t, ok)
+		assert.Equal(t, test.kind, outcome.Kind, test.claims.ID)
+		assert.Equal(t, test.code, outcome.Code, test.claims.ID)
+	}
+	assert.True(t, peer.HeldConflict(claims("ran", fresh), 6))
+	assert.False(t, peer.HeldConflict(claims("ran", fresh), 5))
+	restarted := claims("ran", fresh)
+	restarted.Incarnation = 2
+	_, ok := peer.HeldOutcome(now, restarted)
+	assert.False(t, ok, "the ledger speaks for one incarnation only")
+
+	closed.CompleteAfter = time.Time{}
+	var careful ledger.Ledger
+	require.NoError(t, careful.Hold(now, closed))
+	outcome, _ := careful.HeldOutcome(now, claims("unused", fresh))
+	assert.Equal(t, ebonyworks.OutcomeUnknown, outcome.Kind, "a codec that loses CompleteAfter must fail safe")
+
+	small := ledger.Ledger{MaxHeldBytes: 10}
+	assert.ErrorIs(t, small.Hold(now, closed), ledger.ErrNotHeld)
+	assert.ErrorIs(t, owner.Hold(now, closed), ledger.ErrNotHeld, "a stopped host would lose it")
+	_, ok = peer.HeldOutcome(now.Add(ledger.Retention+30*time.Second), claims("ran", fresh))
+	assert.False(t, ok, "held for the retention time only")
+}
+
+// Guards against results that use unbounded memory.
+func TestLargeResult(t *testing.T) {
+	var book ledger.Ledger
+	book.Begin(start, claims("a", time.Second), 1)
+	large := ran
+	large.Result = []ebonyworks.Field{{Name: "Text", Value: strings.Repeat("x", ledger.MaxResultBytes)}}
+	assert.Equal(t, ebonyworks.OutcomeRan, book.Finish("a", large).Kind)
+	assert.Empty(t, book.Query(start, claims("a", time.Second)).Outcome.Result)
+	_, bytes := book.Size()
+	assert.Less(t, bytes, int64(1000))
+}
+
+func BenchmarkRecordMemory(b *testing.B) {
+	const count = 50_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		book := &ledger.Ledger{}
+		for i := range count {
+			id := fmt.Sprintf("%032d", i)
+			book.Begin(start, claims(id, time.Second), 1)
+			outcome := ran
+			outcome.Result = []ebonyworks.Field{{Name: "Bundle", Value: id}}
+			book.Finish(ebonyworks.TicketID(id), outcome)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		_, charged := book.Size()
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "heap-B/record")
+		b.ReportMetric(float64(charged)/count, "charged-B/record")
+		runtime.KeepAlive(book)
+	}
+}
