--- a/protocol/notice/codec_test.go
+++ b/protocol/notice/codec_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -43,7 +44,10 @@
 
 // assemble decodes the parts as if a head listed them.
 func assemble(routes, catalogue []byte) (*ebonyworks.Configuration, []ebonyworks.Problem) {
-	parts := []ebonyworks.Part{{Name: "Catalogue/catálogo", Bytes: catalogue}, {Name: "Routes", Bytes: routes}}
+	return assembleParts([]ebonyworks.Part{{Name: "Catalogue/catálogo", Bytes: catalogue}, {Name: "Routes", Bytes: routes}})
+}
+
+func assembleParts(parts []ebonyworks.Part) (*ebonyworks.Configuration, []ebonyworks.Problem) {
 	head := ebonyworks.Head{Revision: 1}
 	for _, part := range parts {
 		head.Parts = append(head.Parts, ebonyworks.PartDigest{Name: part.Name, Digest: sha256.Sum256(part.Bytes)})
@@ -240,3 +244,20 @@
 	_, err := notice.Codec{}.EncodeHosts([]ebonyworks.ListedHost{{Name: "a", Domain: "b"}})
 	assert.EqualError(t, err, "Hosts[0].Address: must be an IP address and port")
 }
+
+// Guards against examples in the documentation that hosts refuse.
+func TestDocumentedExamples(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	require.NoError(t, err)
+	var examples [][]byte
+	for _, block := range strings.Split(string(page), "```json\n")[1:] {
+		text, _, _ := strings.Cut(block, "```")
+		examples = append(examples, []byte(text))
+	}
+	require.Len(t, examples, 3)
+	parts := []ebonyworks.Part{{Name: "Catalogue/catálogo-bloques", Bytes: examples[1]}, {Name: "Routes", Bytes: examples[0]}}
+	_, problems := assembleParts(parts)
+	assert.Empty(t, problems)
+	_, problems = notice.Codec{}.Hosts(examples[2])
+	assert.Empty(t, problems)
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
@@ -154,3 +155,21 @@
 		assert.NotContains(t, text, "48 49 50 51")
 	}
 }
+
+// Guards against settings that the page doesn't describe.
+func TestFieldsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/settings.md")
+	require.NoError(t, err)
+	var check func(prefix string, fields reflect.Type)
+	check = func(prefix string, fields reflect.Type) {
+		for i := range fields.NumField() {
+			field := fields.Field(i)
+			if field.Type.Kind() == reflect.Struct && field.Type.PkgPath() == fields.PkgPath() {
+				check(field.Name+".", field.Type)
+				continue
+			}
+			assert.Contains(t, string(page), "| `"+prefix+field.Name+"` |")
+		}
+	}
+	check("", reflect.TypeFor[settings.Settings]())
+}
