--- /dev/null
+++ b/standin/printed/load.go
@@ -0,0 +1,69 @@
+// Package printed reads a configuration from a directory that the operators'
+// tool has printed.
+package printed
+
+import (
+	"crypto/sha256"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+)
+
+// Load decodes and validates the configuration in the directory. Each value is
+// a file whose path is its key.
+func Load(directory string) (*ebonyworks.Configuration, error) {
+	bytes, err := readKey(directory, notice.HeadKey)
+	if err != nil {
+		return nil, err
+	}
+	var codec notice.Codec
+	head, problems := codec.Head(bytes)
+	if len(problems) > 0 {
+		return nil, problemError(string(notice.HeadKey), problems)
+	}
+	parts, err := readParts(directory, head)
+	if err != nil {
+		return nil, err
+	}
+	mark := ebonyworks.Mark{Revision: head.Revision, Digest: sha256.Sum256(bytes)}
+	configuration, problems := codec.Assemble(mark, head, parts)
+	if len(problems) > 0 {
+		return nil, problemError("configuration", problems)
+	}
+	return configuration, nil
+}
+
+func readParts(directory string, head ebonyworks.Head) ([]ebonyworks.Part, error) {
+	var parts []ebonyworks.Part
+	for _, listed := range head.Parts {
+		bytes, err := readKey(directory, notice.PartKey(listed.Name))
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, ebonyworks.Part{Name: listed.Name, Bytes: bytes})
+	}
+	return parts, nil
+}
+
+// readKey reads the file of a key. Part names come from the head, so keys that
+// lead out of the directory are refused.
+func readKey(directory string, key ebonyworks.Key) ([]byte, error) {
+	path := filepath.FromSlash(string(key))
+	if !filepath.IsLocal(path) {
+		return nil, errors.Errorf("key %q leaves the directory", key)
+	}
+	bytes, err := os.ReadFile(filepath.Join(directory, path))
+	if err != nil {
+		return nil, errors.Wrap(err, "read value")
+	}
+	return bytes, nil
+}
+
+func problemError(place string, problems []ebonyworks.Problem) error {
+	first := problems[0]
+	return errors.Errorf("%s: %s: %s (%d problems)", place, first.Place, first.Message, len(problems))
+}
--- /dev/null
+++ b/standin/server/clock.go
@@ -0,0 +1,138 @@
+package server
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// clock waits until a time; it returns false if the context ends first.
+type clock interface {
+	wait(ctx context.Context, until time.Time) bool
+}
+
+// runtimeClock uses the runtime's timers.
+type runtimeClock struct{}
+
+func (runtimeClock) wait(ctx context.Context, until time.Time) bool {
+	remaining := time.Until(until)
+	if remaining <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(remaining)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fineStep bounds each sleep of the fine clock and with it the delay of an
+// alarm that is set while it sleeps.
+const fineStep = 200 * time.Microsecond
+
+// fineClock wakes waiters by sleeping in a thread of its own. The runtime's
+// timers of an otherwise idle process fire up to 1 ms late, as much as the
+// delays between failure domains that the stand-in models.
+type fineClock struct {
+	mu     sync.Mutex
+	alarms alarms
+	// set tells the sleeper of the first alarm.
+	set  chan struct{}
+	done chan struct{}
+	end  chan struct{}
+}
+
+type alarm struct {
+	at   time.Time
+	ring chan struct{}
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+
+// Push adds an alarm.
+func (a *alarms) Push(x any) { *a = append(*a, x.(alarm)) }
+
+// Pop removes the last alarm.
+func (a *alarms) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+func newFineClock() *fineClock {
+	c := &fineClock{set: make(chan struct{}, 1), done: make(chan struct{}), end: make(chan struct{})}
+	go c.run()
+	return c
+}
+
+func (c *fineClock) close() {
+	close(c.end)
+	<-c.done
+}
+
+func (c *fineClock) wait(ctx context.Context, until time.Time) bool {
+	if !until.After(time.Now()) {
+		return ctx.Err() == nil
+	}
+	ring := make(chan struct{})
+	c.mu.Lock()
+	heap.Push(&c.alarms, alarm{at: until, ring: ring})
+	c.mu.Unlock()
+	select {
+	case c.set <- struct{}{}:
+	default:
+	}
+	select {
+	case <-ring:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-c.end:
+		return false
+	}
+}
+
+func (c *fineClock) run() {
+	defer close(c.done)
+	for {
+		pause, waiting := c.ringDue()
+		if !waiting {
+			select {
+			case <-c.set:
+			case <-c.end:
+				return
+			}
+			continue
+		}
+		select {
+		case <-c.end:
+			return
+		default:
+			nap(min(pause, fineStep))
+		}
+	}
+}
+
+// ringDue rings all alarms that are due and returns the time to the next.
+func (c *fineClock) ringDue() (pause time.Duration, waiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for len(c.alarms) > 0 {
+		next := c.alarms[0]
+		if next.at.After(now) {
+			return next.at.Sub(now), true
+		}
+		heap.Pop(&c.alarms)
+		close(next.ring)
+	}
+	return 0, false
+}
--- a/transport/stockroom/client.go
+++ b/transport/stockroom/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 	// PingTimeout is how long the answer may take.
 	PingInterval time.Duration
 	PingTimeout  time.Duration
+	// LocalAddress is the address from which connections are opened. The zero
+	// value leaves the choice to the system.
+	LocalAddress netip.Addr
 	// Recorder takes events; nil discards them.
 	Recorder ebonyworks.Recorder
 }
--- a/transport/stockroom/transport.go
+++ b/transport/stockroom/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -13,7 +14,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		Protocols:              protocols,
-		DialContext:            dial,
+		DialContext:            newDial(options.LocalAddress),
 		DisableCompression:     true,
 		IdleConnTimeout:        options.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -64,13 +65,23 @@
 	return n, err
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+// dialFunc opens a TCP connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newDial returns a function that opens connections from the local address, if
+// one is given, and reports their first byte to the greeting in the context.
+func newDial(local netip.Addr) dialFunc {
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+	if local.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &greetedConn{Conn: conn, greeting: ctx.Value(greetingKey{}).(*greeting)}, nil
 	}
-	return &greetedConn{Conn: conn, greeting: ctx.Value(greetingKey{}).(*greeting)}, nil
 }
 
 // open dials a server and waits for its first byte. A server closes a
