--- a/cmd/ebonyctl/root.go
+++ b/cmd/ebonyctl/root.go
@@ -91,8 +91,8 @@
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:   "ebonyctl",
-		Short: "Check, print, compare and explain configuration, and show the state of a host",
-		Long: "Check, print, compare and explain configuration, and show the state of a host.\n\n" +
+		Short: "Check, print, compare and explain configuration, show a host, and send requests",
+		Long: "Check, print, compare and explain configuration, show a host, and send requests.\n\n" +
 			"A configuration is a directory with one file for each value of the configuration\n" +
 			"service, as \"ebonyctl print\" writes it.\n\n" +
 			"Exit status: 0 on success, 2 for invalid input with all mistakes listed on\n" +
@@ -106,7 +106,7 @@
 	}
 	root.SetFlagErrorFunc(usage)
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(newCheck(), newPrint(), newCompare(), newExplain(), newShow())
+	root.AddCommand(newCheck(), newPrint(), newCompare(), newExplain(), newShow(), newSearch(), newReserve(), newOutcome(), newWait())
 	return root
 }
 
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -162,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	p.backend = stockroom.NewClient(stockroom.Options{Recorder: p.recorder})
+	p.backend = stockroom.NewClient(stockroom.Options{LocalAddress: p.settings.Peers.Addr(), Recorder: p.recorder})
 	p.peers = courier.NewClient(nil)
 	options := entry.Options{
 		Self: ebonyworks.Host{
@@ -288,9 +289,11 @@
 func (p *process) reload() {
 	loaded, problems := settings.Load(p.path)
 	if len(problems) > 0 {
-		p.recorder.Record(event.New(event.SettingsRefused,
-			event.Attribute("Problems", strconv.Itoa(len(problems))),
-			event.Attribute("First", problems[0].Place+": "+problems[0].Message)))
+		for _, problem := range problems {
+			p.recorder.Record(event.New(event.SettingsRefused,
+				event.Attribute("Place", problem.Place),
+				event.Attribute("Problem", problem.Message)))
+		}
 		return
 	}
 	keys, err := ticketKeys(loaded)
@@ -298,9 +301,12 @@
 		err = p.host.SetKeys(keys)
 	}
 	if err != nil {
-		p.recorder.Record(event.New(event.SettingsRefused, event.Attribute("First", err.Error())))
+		p.recorder.Record(event.New(event.SettingsRefused, event.Attribute("Problem", err.Error())))
 		return
 	}
+	if names := p.settings.RestartNeeded(loaded); len(names) > 0 {
+		p.recorder.Record(event.New(event.SettingsNeedRestart, event.Attribute("Fields", strings.Join(names, ", "))))
+	}
 	p.recorder.Record(event.New(event.SettingsReloaded, event.Attribute("Keys", strconv.Itoa(len(keys)))))
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -222,8 +222,6 @@
 
 func (l *loader) limits(wire limitsWire) Limits {
 	l.notNegative("Limits.BodyBytes", wire.BodyBytes)
-	l.notNegative("Limits.SearchesInFlight", wire.SearchesInFlight)
-	l.notNegative("Limits.Queue", wire.Queue)
 	return Limits(wire)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,10 +12,6 @@
 const (
 	// DefaultBodyBytes bounds the body of a caller's request.
 	DefaultBodyBytes = 64 << 10
-	// DefaultSearchesInFlight bounds the searches that a host runs at a time.
-	DefaultSearchesInFlight = 256
-	// DefaultQueue bounds the requests that wait for admission.
-	DefaultQueue = 1024
 	// DefaultStopBound is longer than the longest deadline of the shipped
 	// routes, so that a planned stop interrupts no request.
 	DefaultStopBound = 30 * time.Second
@@ -96,14 +92,10 @@
 	TracesOTLP
 )
 
-// Limits bound the work that a host takes on. Zero values mean the defaults.
+// Limits bound what a host accepts. Zero values mean the defaults.
 type Limits struct {
 	// BodyBytes bounds the body of one request.
 	BodyBytes int
-	// SearchesInFlight bounds the searches that run at a time.
-	SearchesInFlight int
-	// Queue bounds the requests that wait for admission.
-	Queue int
 }
 
 // Log tells where log lines go.
@@ -131,12 +123,6 @@
 	if s.Limits.BodyBytes == 0 {
 		s.Limits.BodyBytes = DefaultBodyBytes
 	}
-	if s.Limits.SearchesInFlight == 0 {
-		s.Limits.SearchesInFlight = DefaultSearchesInFlight
-	}
-	if s.Limits.Queue == 0 {
-		s.Limits.Queue = DefaultQueue
-	}
 	if s.StopBound == 0 {
 		s.StopBound = DefaultStopBound
 	}
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -38,9 +38,7 @@
 }
 
 type limitsWire struct {
-	BodyBytes        int `json:",omitempty"`
-	SearchesInFlight int `json:",omitempty"`
-	Queue            int `json:",omitempty"`
+	BodyBytes int `json:",omitempty"`
 }
 
 type logWire struct {
