--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -106,9 +106,9 @@
 		}},
 		{"choices", `{` + required + `, "TicketKeys": [], "Traces": {"Exporter": "x"}, "Log": {"Output": "x"}, "Policy": "x", "Limits": {"BodyBytes": "3"}}`, []ebonyworks.Problem{
 			{Place: "Traces.Exporter", Message: `must be "None", "Stdout", "File" or "OTLP"`},
-			{Place: "Limits.BodyBytes", Message: "must be an integer"},
 			{Place: "Log.Output", Message: `must be "Stderr", "Stdout" or "File"`},
 			{Place: "Policy", Message: `must be "Adaptive", "RoundRobin", "LeastOutstanding" or "FixedHedge"`},
+			{Place: "Limits.BodyBytes", Message: "must be an integer"},
 			{Place: "TicketKeys", Message: "must list at least one key"},
 		}},
 		{"cut", `{`, []ebonyworks.Problem{{Message: "unexpected end of the document at line 1, column 2"}}},
