--- /dev/null
+++ b/transport/noticeboard/client.go
@@ -0,0 +1,207 @@
+// Package noticeboard reads the platform's configuration service and host list
+// over HTTP.
+package noticeboard
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/document"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+)
+
+const (
+	defaultTimeout   = 2 * time.Second
+	defaultWatchWait = 30 * time.Second
+	// maxConnections bounds the connections to the platform. A waiting watch
+	// occupies one.
+	maxConnections = 16
+	maxIdle        = 4
+	idleTimeout    = 90 * time.Second
+	maxHeaderBytes = 16 << 10
+	maxErrorBytes  = 4 << 10
+	// maxRetryAfter bounds the time that an error may ask to wait.
+	maxRetryAfter = time.Hour
+
+	valuesPrefix  = "/v1/values/"
+	hostsPath     = "/v1/hosts"
+	versionHeader = "Value-Version"
+)
+
+// Options configure a Client. Zero fields take their defaults.
+type Options struct {
+	// Address is the address of the platform.
+	Address netip.AddrPort
+	// Timeout bounds a call, 2 s by default; for a watch it is added to the wait.
+	Timeout time.Duration
+	// WatchWait is how long a watch asks the service to wait, 30 s by default.
+	WatchWait time.Duration
+	// LocalAddress is the address from which connections are opened. The zero
+	// value leaves the choice to the system.
+	LocalAddress netip.Addr
+}
+
+// Client is an ebonyworks.Platform over HTTP. It returns errors at once; when
+// to try again is left to the caller. Errors that the platform stated are
+// *Error values.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+var _ ebonyworks.Platform = (*Client)(nil)
+
+// NewClient returns a client. Close releases its connections.
+func NewClient(options Options) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = defaultTimeout
+	}
+	if options.WatchWait <= 0 {
+		options.WatchWait = defaultWatchWait
+	}
+	dialer := &net.Dialer{Timeout: options.Timeout}
+	if options.LocalAddress.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(options.LocalAddress, 0))
+	}
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxConnsPerHost:        maxConnections,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+	return &Client{options: options, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections. Calls in flight end by their contexts.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Read returns the current value of the key as one replica knows it.
+func (c *Client) Read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
+	return c.value(ctx, key, "", c.options.Timeout)
+}
+
+// Watch waits until the value of the key has a version after the given one, or
+// until the service ends the wait; then it returns the value it has, which can
+// be older than the given version.
+func (c *Client) Watch(ctx context.Context, key ebonyworks.Key, after ebonyworks.Version) (ebonyworks.Value, error) {
+	wait := c.options.WatchWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = max(0, min(wait, time.Until(deadline)-c.options.Timeout))
+	}
+	query := url.Values{
+		"After": {strconv.FormatUint(uint64(after), 10)},
+		"Wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	return c.value(ctx, key, query.Encode(), wait+c.options.Timeout)
+}
+
+// Hosts returns the list of live and leaving hosts.
+func (c *Client) Hosts(ctx context.Context) ([]ebonyworks.ListedHost, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	_, body, err := c.get(ctx, url.URL{Path: hostsPath}, notice.MaxHostListBytes)
+	if err != nil {
+		return nil, err
+	}
+	hosts, problems := notice.Codec{}.Hosts(body)
+	if len(problems) > 0 {
+		return nil, errors.Errorf("host list: %s: %s", problems[0].Place, problems[0].Message)
+	}
+	return hosts, nil
+}
+
+func (c *Client) value(ctx context.Context, key ebonyworks.Key, query string, timeout time.Duration) (ebonyworks.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	header, body, err := c.get(ctx, url.URL{Path: valuesPrefix + string(key), RawQuery: query}, notice.MaxValueBytes)
+	if err != nil {
+		return ebonyworks.Value{}, err
+	}
+	versions := header.Values(versionHeader)
+	if len(versions) != 1 {
+		return ebonyworks.Value{}, errors.Errorf("reply has %d versions", len(versions))
+	}
+	version, err := strconv.ParseUint(versions[0], 10, 64)
+	if err != nil || version == 0 {
+		return ebonyworks.Value{}, errors.Errorf("version %q is invalid", versions[0])
+	}
+	return ebonyworks.Value{Key: key, Version: ebonyworks.Version(version), Bytes: body}, nil
+}
+
+// get returns the complete body of a reply with status 200.
+func (c *Client) get(ctx context.Context, target url.URL, limit int) (http.Header, []byte, error) {
+	target.Scheme = "http"
+	target.Host = c.options.Address.String()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "platform")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, nil, refusal(response)
+	}
+	// Without a length, a truncated value would look complete.
+	if response.ContentLength < 0 {
+		return nil, nil, errors.New("reply has no length")
+	}
+	body, err := readAll(response, limit)
+	if err != nil {
+		return nil, nil, err
+	}
+	return response.Header, body, nil
+}
+
+func readAll(response *http.Response, limit int) ([]byte, error) {
+	if response.ContentLength > int64(limit) {
+		return nil, errors.Errorf("reply has %d bytes, more than %d", response.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read reply")
+	}
+	if len(body) > limit {
+		return nil, errors.Errorf("reply has more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+// wireError is the body of a refusal.
+type wireError struct {
+	Code                   string
+	Message                string
+	RetryAfterMilliseconds int
+}
+
+func refusal(response *http.Response) error {
+	refused := &Error{Status: response.StatusCode}
+	body, err := readAll(response, maxErrorBytes)
+	if err != nil {
+		return refused
+	}
+	var wire wireError
+	if problems := document.Decode(body, &wire); len(problems) > 0 {
+		return refused
+	}
+	refused.Code = Code(wire.Code)
+	refused.Message = wire.Message
+	after := time.Duration(wire.RetryAfterMilliseconds) * time.Millisecond
+	refused.RetryAfter = max(0, min(after, maxRetryAfter))
+	return refused
+}
