--- a/entry/policy.go
+++ b/entry/policy.go
@@ -44,7 +44,7 @@
 	case RoundRobin:
 		return policy{selection: &rotation.Rotation{}, hedging: never.Hedging{}}
 	case LeastOutstanding:
-		return policy{selection: &outstanding.Selector{}, hedging: never.Hedging{}}
+		return policy{selection: outstanding.New(random), hedging: never.Hedging{}}
 	case FixedHedge:
 		return policy{selection: selection.New(random), hedging: fixed.Delay(fixedHedgeDelay)}
 	default:
