Test a planned stop under load

Three hosts, 108 stand-in servers and 12 workers that search and reserve, each reservation with a ticket of another host, while one host stops.

--- a/daemon/process.go
+++ b/daemon/process.go
@@ -238,36 +238,55 @@
 		MaxBodyBytes: int64(p.settings.Limits.BodyBytes),
 	}
 	return &http.Server{
-		Handler:           api.Handler(),
+		Handler:           p.closeWhenStopping(api.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 	}
 }
 
+// closeWhenStopping asks callers to close their connections while the host is
+// stopping, so that none sends a request on a connection that is being closed.
+func (p *process) closeWhenStopping(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if p.host.Stopping() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 func (p *process) adminServer() *http.Server {
 	routes := http.NewServeMux()
 	routes.Handle("GET /metrics", p.telemetry.MetricsHandler())
 	return &http.Server{Handler: routes, ReadHeaderTimeout: headerTimeout}
 }
 
+// listen opens the listeners that aren't open yet.
 func (p *process) listen() error {
 	var err error
-	if p.callers, err = net.Listen("tcp", p.settings.Callers.String()); err != nil {
+	if p.callers, err = listen(p.callers, p.settings.Callers); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if p.members, err = net.Listen("tcp", p.settings.Peers.String()); err != nil {
+	if p.members, err = listen(p.members, p.settings.Peers); err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
 	if !p.settings.Admin.IsValid() {
 		return nil
 	}
-	if p.admin, err = net.Listen("tcp", p.settings.Admin.String()); err != nil {
+	if p.admin, err = listen(p.admin, p.settings.Admin); err != nil {
 		return errors.Wrap(err, "listen for administration")
 	}
 	return nil
 }
 
+func listen(open net.Listener, address netip.AddrPort) (net.Listener, error) {
+	if open != nil {
+		return open, nil
+	}
+	return net.Listen("tcp", address.String())
+}
+
 // reloadOnHangup replaces the ticket keys on SIGHUP. Invalid settings change
 // nothing.
 func (p *process) reloadOnHangup(ctx context.Context) {
--- /dev/null
+++ b/daemon/stop_test.go
@@ -0,0 +1,262 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/operator"
+	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
+	"github.com/ebonyworks/ebonyworks/settings"
+	"github.com/ebonyworks/ebonyworks/standin/platform"
+	"github.com/ebonyworks/ebonyworks/standin/server"
+	"github.com/ebonyworks/ebonyworks/transport/caller"
+)
+
+const (
+	fleetSize = 3
+	// loadTime covers a whole planned stop.
+	loadTime = 4 * time.Second
+	// workers send requests one after the other, each to a ready host.
+	workers = 12
+)
+
+// site is a platform, backend servers and entry hosts in one process.
+type site struct {
+	t         *testing.T
+	platform  *platform.Platform
+	fleet     *server.Fleet
+	processes []*process
+	cancels   []context.CancelFunc
+	ended     []chan error
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, platform: platform.New(platform.Options{})}
+	first := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), freePorts(t))
+	configuration, problems := kitakaze.Plan(operator.Addresses{First: first}).Configuration()
+	require.Empty(t, problems)
+	publication, problems := kitakaze.Plan(operator.Addresses{First: first}).Publish(1, ebonyworks.Mark{})
+	require.Empty(t, problems)
+	for _, value := range publication.Values() {
+		_, err := s.platform.Put(value.Key, value.Bytes)
+		require.NoError(t, err)
+	}
+	s.fleet = server.NewFleet(server.FleetOptions{Seed: 1, Items: 200})
+	require.NoError(t, s.fleet.Apply(configuration))
+	t.Cleanup(s.fleet.Close)
+	service := httptest.NewServer(s.platform)
+	t.Cleanup(service.Close)
+	s.startHosts(netip.MustParseAddrPort(service.Listener.Addr().String()))
+	return s
+}
+
+// freePorts returns the first port of a range that this test process may use.
+// Each run takes its own range, so that parallel runs don't meet.
+func freePorts(t *testing.T) uint16 {
+	for attempt := range 50 {
+		first := 30000 + (os.Getpid()*7+attempt)%40*128
+		if portsFree(first) {
+			return uint16(first)
+		}
+	}
+	t.Fatal("no free range of ports")
+	return 0
+}
+
+func portsFree(first int) bool {
+	for port := first; port < first+110; port++ {
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
+func (s *site) startHosts(service netip.AddrPort) {
+	var seeds []netip.AddrPort
+	for i := range fleetSize {
+		callers, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(s.t, err)
+		members, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(s.t, err)
+		seeds = append(seeds, netip.MustParseAddrPort(members.Addr().String()))
+		s.processes = append(s.processes, &process{
+			out:     os.Stdout,
+			callers: callers,
+			members: members,
+			settings: settings.Settings{
+				Host:       ebonyworks.HostID("entry-" + strconv.Itoa(i)),
+				Domain:     "Sapporo",
+				Callers:    netip.MustParseAddrPort(callers.Addr().String()),
+				Peers:      seeds[i],
+				Platform:   service,
+				TicketKeys: []settings.TicketKey{{ID: "k", Secret: settings.NewSecret(make([]byte, 32))}},
+				Log:        settings.Log{Output: settings.LogFile, File: os.DevNull},
+			}.WithDefaults(),
+		})
+	}
+	for _, process := range s.processes {
+		process.settings.Seeds = seeds
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- process.run(ctx) }()
+		s.cancels = append(s.cancels, cancel)
+		s.ended = append(s.ended, ended)
+	}
+	s.t.Cleanup(s.stopAll)
+	for i := range s.processes {
+		client := s.client(i)
+		require.Eventually(s.t, func() bool { return client.Ready(context.Background()) }, 20*time.Second, 20*time.Millisecond)
+	}
+}
+
+func (s *site) stopAll() {
+	for i, cancel := range s.cancels {
+		cancel()
+		if s.ended[i] != nil {
+			<-s.ended[i]
+		}
+	}
+}
+
+func (s *site) client(i int) *caller.Client {
+	base := "http://" + s.processes[i].settings.Callers.String()
+	transport := &http.Transport{MaxIdleConnsPerHost: workers}
+	s.t.Cleanup(transport.CloseIdleConnections)
+	return &caller.Client{Base: base, HTTP: &http.Client{Transport: transport}}
+}
+
+// balancer sends each request to a host that was ready a short time ago.
+type balancer struct {
+	clients []*caller.Client
+	ready   []atomic.Bool
+	next    atomic.Int64
+}
+
+func (b *balancer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, client := range b.clients {
+			b.ready[i].Store(client.Ready(ctx))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (b *balancer) pick() *caller.Client {
+	for {
+		i := int(b.next.Add(1)) % len(b.clients)
+		if b.ready[i].Load() {
+			return b.clients[i]
+		}
+	}
+}
+
+// tally counts the requests of a run by how they ended.
+type tally struct {
+	searches, partial, reservations, notRun, unknown, refused, broken atomic.Int64
+}
+
+func (c *tally) search(ctx context.Context, client *caller.Client) {
+	outcome, err := client.Search(ctx, ebonyworks.Search{Route: kitakaze.SearchHair, House: "h"}, time.Second)
+	switch {
+	case err != nil:
+		c.broken.Add(1)
+	case outcome.Refusal != nil:
+		c.refused.Add(1)
+	case !outcome.Answer.Coverage.Complete():
+		c.partial.Add(1)
+	default:
+		c.searches.Add(1)
+	}
+}
+
+// reserve uses the ticket at another host than the one that issued it, and
+// returns the key if it ran.
+func (c *tally) reserve(ctx context.Context, b *balancer, key string) {
+	ticket, refusal, err := b.pick().Ticket(ctx)
+	if err != nil || refusal != nil {
+		c.broken.Add(1)
+		return
+	}
+	reservation := ebonyworks.Reservation{Ticket: ticket, Route: kitakaze.ReserveBundle, House: "h", Key: key}
+	outcome, err := b.pick().Reserve(ctx, reservation, 2*time.Second)
+	switch {
+	case err != nil:
+		c.broken.Add(1)
+	case outcome.Refusal != nil:
+		c.refused.Add(1)
+	case outcome.Kind == ebonyworks.OutcomeRan:
+		c.reservations.Add(1)
+	case outcome.Kind == ebonyworks.OutcomeNotRun:
+		c.notRun.Add(1)
+	default:
+		c.unknown.Add(1)
+	}
+}
+
+// Guards against a planned stop that breaks requests in flight, loses the
+// outcome of a reservation, or makes one run twice.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	s := newSite(t)
+	ctx, cancel := context.WithTimeout(context.Background(), loadTime)
+	defer cancel()
+	b := &balancer{ready: make([]atomic.Bool, fleetSize)}
+	for i := range s.processes {
+		b.clients = append(b.clients, s.client(i))
+	}
+	var background sync.WaitGroup
+	background.Go(func() { b.watch(ctx) })
+	var counts tally
+	for worker := range workers {
+		background.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				// Requests that are in flight at the end of the run still count.
+				counts.search(context.WithoutCancel(ctx), b.pick())
+				counts.reserve(context.WithoutCancel(ctx), b, "bundle-"+strconv.Itoa(worker)+"-"+strconv.Itoa(i))
+			}
+		})
+	}
+	time.Sleep(loadTime / 4)
+	s.cancels[0]()
+	require.NoError(t, <-s.ended[0])
+	s.ended[0] = nil
+	background.Wait()
+	t.Logf("searches %d, partial %d, refused %d, reservations %d, not run %d, unknown %d, broken %d",
+		counts.searches.Load(), counts.partial.Load(), counts.refused.Load(),
+		counts.reservations.Load(), counts.notRun.Load(), counts.unknown.Load(), counts.broken.Load())
+	assert.Zero(t, counts.broken.Load())
+	assert.Zero(t, counts.unknown.Load())
+	assert.Positive(t, counts.searches.Load())
+	assert.Positive(t, counts.reservations.Load())
+	assert.Equal(t, int(counts.reservations.Load()), s.executions())
+}
+
+// executions returns the number of reservations that servers ran, and fails the
+// test if one ran twice.
+func (s *site) executions() int {
+	seen := make(map[string]int)
+	for _, backend := range s.fleet.Select(server.Selector{}) {
+		for _, execution := range backend.Executions("") {
+			seen[execution.Key] += execution.Started
+		}
+	}
+	for key, count := range seen {
+		assert.Equal(s.t, 1, count, key)
+	}
+	return len(seen)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -203,6 +203,9 @@
 // requests. Requests that arrive are still answered.
 func (h *Host) BeginStop() { h.stopping.Store(true) }
 
+// Stopping reports whether a planned stop has begun.
+func (h *Host) Stopping() bool { return h.stopping.Load() }
+
 // Stop ends the reservations, hands the ledger to peers and leaves the
 // membership. Requests of callers must have ended before.
 func (h *Host) Stop(ctx context.Context) error {
