Add the runner of reservations and the inspection of crash-causing requests

Another server is tried only after a result that proves that nothing ran. A stop refuses new tickets, waits for runs and hands the ledger to two peers.

--- /dev/null
+++ b/coordination/reservation/close.go
@@ -0,0 +1,82 @@
+package reservation
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+// handOverTime is kept from the time of a stop for the hand-over.
+const handOverTime = 2 * time.Second
+
+// Close refuses new work, waits for running reservations, closes the ledger
+// and hands it to two peers, with the closed ledgers that this host holds. It
+// returns an error if fewer peers took a ledger. Reservations that are still
+// running when most of the context's time is used are handed over as unknown.
+func (r *Runner) Close(ctx context.Context) error {
+	r.mu.Lock()
+	r.closing = true
+	r.Ledger.Stop()
+	r.mu.Unlock()
+	r.awaitRuns(ctx)
+	own := r.Ledger.Close(r.Host, r.Incarnation)
+	err := r.handOver(ctx, own)
+	for _, held := range r.Ledger.Held(r.Tickets.Now()) {
+		err = errors.Join(err, r.handOver(ctx, held))
+	}
+	return err
+}
+
+// HandleHandOver keeps the closed ledger of another incarnation.
+func (r *Runner) HandleHandOver(_ context.Context, closed ebonyworks.ClosedLedger) error {
+	if closed.Host == r.Host && closed.Incarnation == r.Incarnation {
+		return errors.New("a host can't take over its own ledger")
+	}
+	return r.Ledger.Hold(r.Tickets.Now(), closed)
+}
+
+// awaitRuns waits until no reservation runs, or until the time for the
+// hand-over begins. The goroutine ends with the last run, which has a
+// deadline.
+func (r *Runner) awaitRuns(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		reserve := min(handOverTime, time.Until(deadline)/4)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-reserve))
+		defer cancel()
+	}
+	idle := make(chan struct{})
+	go func() {
+		r.running.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) handOver(ctx context.Context, closed ebonyworks.ClosedLedger) error {
+	taken := 0
+	var failures error
+	for _, peer := range rendezvous(closed.Host, closed.Incarnation, r.Hosts.Peers()) {
+		if taken == heirs || ctx.Err() != nil {
+			break
+		}
+		if err := r.Peer.HandOver(ctx, peer, closed); err != nil {
+			failures = errors.Join(failures, errors.Wrapf(err, "hand over to %s", peer.ID))
+			continue
+		}
+		taken++
+		r.record(event.New(event.LedgerHandedOver, event.Attribute("Peer", string(peer.ID)), event.Attribute("Owner", string(closed.Host))))
+	}
+	if taken == heirs {
+		return nil
+	}
+	r.record(event.New(event.LedgerNotHandedOver, event.Attribute("Owner", string(closed.Host))))
+	return errors.Join(failures, errors.Errorf("%d of %d peers took the ledger of %s", taken, heirs, closed.Host))
+}
--- /dev/null
+++ b/coordination/reservation/run.go
@@ -0,0 +1,298 @@
+package reservation
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+// job is one reservation while it runs.
+type job struct {
+	claims      ebonyworks.TicketClaims
+	route       ebonyworks.Route
+	service     *ebonyworks.Service
+	sent        ebonyworks.SubReservation
+	fingerprint ebonyworks.Fingerprint
+	deadline    time.Time
+	// refusedBy are the servers that provably didn't run it.
+	refusedBy []ebonyworks.ServerID
+}
+
+// target is the server of one attempt.
+type target struct {
+	server ebonyworks.Server
+	// trial is set for a single attempt that the inspection chose.
+	trial bool
+}
+
+// step tells what follows an attempt.
+type step int
+
+const (
+	// finished means that the outcome ends the run.
+	finished step = iota
+	// nextServer means that the server provably didn't run the reservation.
+	nextServer
+	// chooseAgain means that nothing was sent, because a death became known
+	// after the choice.
+	chooseAgain
+)
+
+// run executes the reservation and records its outcome, before anyone is
+// told.
+func (r *Runner) run(ctx context.Context, claims ebonyworks.TicketClaims, reservation ebonyworks.Reservation) {
+	outcome := r.execute(ctx, claims, reservation)
+	r.Ledger.Finish(claims.ID, outcome)
+	if outcome.Kind == ebonyworks.OutcomeUnknown {
+		r.record(event.New(event.ReservationUnknown,
+			event.Attribute("Ticket", string(claims.ID)), event.Attribute("Code", string(outcome.Code))))
+	}
+}
+
+func (r *Runner) execute(ctx context.Context, claims ebonyworks.TicketClaims, reservation ebonyworks.Reservation) ebonyworks.Outcome {
+	work, refusal := r.plan(claims, reservation)
+	if refusal != nil {
+		return *refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, work.deadline)
+	defer cancel()
+	admittance, refused := r.Admission.Admit(ctx, work.route, reservation.House, work.deadline)
+	if refused != nil {
+		return notRun(ebonyworks.CodeOverloaded, refused.Message, refused.RetryAfter)
+	}
+	defer admittance.Done()
+	return r.attempts(ctx, work)
+}
+
+// plan looks up route, shard and service in the configuration in force. The
+// newest partition decides the shard.
+func (r *Runner) plan(claims ebonyworks.TicketClaims, reservation ebonyworks.Reservation) (*job, *ebonyworks.Outcome) {
+	missing := func(message string) (*job, *ebonyworks.Outcome) {
+		outcome := notRun(ebonyworks.CodeUnknownRoute, message, refusedRetryAfter)
+		return nil, &outcome
+	}
+	configuration := r.Configuration()
+	if configuration == nil {
+		return missing("no configuration is in force")
+	}
+	route, ok := configuration.Route(reservation.Route)
+	if !ok || route.Kind != ebonyworks.ReservationRoute {
+		return missing("no such reservation route is in force")
+	}
+	catalogue, ok := configuration.Catalogue(route.Catalogue)
+	if !ok {
+		return missing("the route's catalogue isn't in force")
+	}
+	shard, ok := newestShard(catalogue, reservation.Key)
+	if !ok {
+		return missing("no shard holds the key")
+	}
+	service, ok := catalogue.Service(shard.Service)
+	if !ok {
+		return missing("the shard's service isn't in force")
+	}
+	return &job{
+		claims:      claims,
+		route:       route,
+		service:     service,
+		sent:        subReservation(claims, catalogue.ID, shard.ID, reservation),
+		fingerprint: workFingerprint(reservation),
+		deadline:    bound(route, reservation.Deadline),
+	}, nil
+}
+
+// attempts asks one server after the other, as long as each provably didn't
+// run the reservation.
+func (r *Runner) attempts(ctx context.Context, work *job) ebonyworks.Outcome {
+	last := notRun(ebonyworks.CodeRefused, "no server is usable", refusedRetryAfter)
+	for {
+		chosen, stop := r.choose(work)
+		if stop != nil {
+			return *stop
+		}
+		if chosen == nil {
+			return last
+		}
+		if len(work.refusedBy) > 0 && !r.Hedging.AllowRetry(work.service.ID) {
+			r.endTrial(work, *chosen)
+			return last
+		}
+		outcome, next := r.attempt(ctx, work, *chosen)
+		if next == finished {
+			return outcome
+		}
+		if next == chooseAgain {
+			continue
+		}
+		last = outcome
+		work.refusedBy = append(work.refusedBy, chosen.server.ID)
+	}
+}
+
+// choose returns the next server, nil if none is left, or an outcome that
+// ends the run.
+func (r *Runner) choose(work *job) (*target, *ebonyworks.Outcome) {
+	candidates := slices.DeleteFunc(r.Servers.Candidates(work.service, work.route), func(c ebonyworks.Candidate) bool {
+		return slices.Contains(work.refusedBy, c.Server.ID)
+	})
+	if len(candidates) == 0 {
+		return nil, nil
+	}
+	verdict, refusal := r.Inspection.Inspect(work.fingerprint)
+	if verdict == ebonyworks.RunNone {
+		return nil, suspect(refusal)
+	}
+	if verdict == ebonyworks.RunOne {
+		trial, refusal := r.Inspection.Choose(work.fingerprint, []ebonyworks.ShardReplicas{replicas(work, candidates)})
+		if refusal != nil {
+			return nil, suspect(refusal)
+		}
+		return &target{server: trial.Server, trial: true}, nil
+	}
+	index, ok := r.Selection.Select(candidates)
+	if !ok {
+		return nil, nil
+	}
+	return &target{server: candidates[index].Server}, nil
+}
+
+// attempt sends the reservation to one server, at most once.
+func (r *Runner) attempt(ctx context.Context, work *job, chosen target) (ebonyworks.Outcome, step) {
+	defer r.endTrial(work, chosen)
+	server := chosen.server
+	permit, ok := r.Quota.Acquire(ctx, work.service, server.ID)
+	if !ok {
+		return notRun(ebonyworks.CodeDeadline, "the deadline passed before anything was sent", refusedRetryAfter), finished
+	}
+	incarnation := r.Servers.Incarnation(server.ID)
+	record := ebonyworks.AttemptRecord{Service: work.service.ID, Server: server.ID, Result: ebonyworks.AttemptCancelled, Retry: len(work.refusedBy) > 0}
+	if !r.stillAllowed(work, chosen) {
+		permit.Release(record)
+		return ebonyworks.Outcome{}, chooseAgain
+	}
+	// The process may have been paused since any earlier check.
+	if stop := r.mayNotSend(work); stop != nil {
+		permit.Release(record)
+		return *stop, finished
+	}
+	begin := time.Now()
+	reply := r.Backend.Reserve(ctx, work.service, server, work.sent)
+	record.Latency = time.Since(begin)
+	record.Result = reply.Result
+	record.Report = reply.Report
+	permit.Release(record)
+	r.Hedging.Observe(record)
+	r.Servers.Observe(record)
+	return r.conclude(work, server, incarnation, reply)
+}
+
+// mayNotSend returns why the reservation must not be sent any more.
+func (r *Runner) mayNotSend(work *job) *ebonyworks.Outcome {
+	var stop ebonyworks.Outcome
+	switch {
+	case !r.Tickets.Now().Before(work.claims.Expiry):
+		stop = notRun(ebonyworks.CodeTicketExpired, "the ticket expired before anything was sent", refusedRetryAfter)
+	case passed(work.deadline):
+		stop = notRun(ebonyworks.CodeDeadline, "the deadline passed before anything was sent", refusedRetryAfter)
+	default:
+		return nil
+	}
+	return &stop
+}
+
+func (r *Runner) conclude(work *job, server ebonyworks.Server, incarnation ebonyworks.Incarnation, reply ebonyworks.SubConfirmation) (ebonyworks.Outcome, step) {
+	if reply.Result == ebonyworks.AttemptRejected || reply.Result == ebonyworks.AttemptExpired {
+		return refused(reply), finished
+	}
+	if reply.Result.ProvesNotRun() {
+		return refused(reply), nextServer
+	}
+	outcome := confirm(work.sent, reply)
+	if outcome.Kind == ebonyworks.OutcomeRan {
+		r.Inspection.Survived(work.fingerprint)
+	}
+	if reply.Result == ebonyworks.AttemptLost {
+		r.Inspection.Died(work.fingerprint, server.ID, incarnation)
+	}
+	return outcome, finished
+}
+
+// stillAllowed reports whether what the inspection said at the choice still
+// holds; reports of other hosts can arrive while the attempt was queued.
+func (r *Runner) stillAllowed(work *job, chosen target) bool {
+	if !chosen.trial {
+		verdict, _ := r.Inspection.Inspect(work.fingerprint)
+		return verdict == ebonyworks.RunAll
+	}
+	trials, ok := r.Inspection.(ebonyworks.TrialInspection)
+	return !ok || trials.StillAllowed(work.fingerprint, ebonyworks.Trial{Shard: work.sent.Shard, Server: chosen.server})
+}
+
+func (r *Runner) endTrial(work *job, chosen target) {
+	trials, ok := r.Inspection.(ebonyworks.TrialInspection)
+	if ok && chosen.trial {
+		trials.Ended(work.fingerprint)
+	}
+}
+
+// passed reports whether the deadline has passed on the monotonic or on the
+// wall clock: some pauses stop the former.
+func passed(deadline time.Time) bool {
+	now := time.Now()
+	return !now.Before(deadline) || !now.Round(0).Before(deadline.Round(0))
+}
+
+// bound returns the deadline within the route's limits.
+func bound(route ebonyworks.Route, deadline time.Time) time.Time {
+	now := time.Now()
+	if deadline.IsZero() {
+		return now.Add(route.DefaultDeadline)
+	}
+	latest := now.Add(route.MaxDeadline)
+	if route.MaxDeadline > 0 && deadline.After(latest) {
+		return latest
+	}
+	return deadline
+}
+
+func newestShard(catalogue *ebonyworks.Catalogue, key string) (ebonyworks.Shard, bool) {
+	if len(catalogue.Partitions) == 0 {
+		return ebonyworks.Shard{}, false
+	}
+	newest := catalogue.Partitions[len(catalogue.Partitions)-1]
+	for _, shard := range newest.Shards {
+		if shard.Keys.Contains(key) {
+			return shard, true
+		}
+	}
+	return ebonyworks.Shard{}, false
+}
+
+func subReservation(claims ebonyworks.TicketClaims, catalogue ebonyworks.CatalogueID, shard ebonyworks.ShardID, reservation ebonyworks.Reservation) ebonyworks.SubReservation {
+	request := reservation.Request
+	if request == "" {
+		request = ebonyworks.RequestID(claims.ID)
+	}
+	return ebonyworks.SubReservation{Request: request, Catalogue: catalogue, Shard: shard, Key: reservation.Key, Fields: reservation.Fields}
+}
+
+func replicas(work *job, candidates []ebonyworks.Candidate) ebonyworks.ShardReplicas {
+	shard := ebonyworks.ShardReplicas{Shard: work.sent.Shard}
+	for _, server := range work.service.Servers {
+		if work.route.Allows(server.Domain) {
+			shard.All = append(shard.All, server)
+		}
+	}
+	for _, candidate := range candidates {
+		shard.Usable = append(shard.Usable, candidate.Server)
+	}
+	return shard
+}
+
+func suspect(refusal *ebonyworks.Refusal) *ebonyworks.Outcome {
+	outcome := notRun(ebonyworks.CodeCrashSuspect, refusal.Message, refusal.RetryAfter)
+	return &outcome
+}
--- a/policy.go
+++ b/policy.go
@@ -115,3 +115,16 @@
 	// Survived records that a server completed the request.
 	Survived(fingerprint Fingerprint)
 }
+
+// TrialInspection is an Inspection that runs the single attempts of one
+// fingerprint one after the other on its host. Its Choose waits for a bounded
+// time while another attempt runs.
+type TrialInspection interface {
+	Inspection
+	// StillAllowed reports whether the chosen attempt may be sent. It is false
+	// if a death became known since Choose; then Choose is called again.
+	StillAllowed(fingerprint Fingerprint, trial Trial) bool
+	// Ended ends the attempt that Choose allowed. It is called after Died and
+	// Survived too, and when nothing was sent.
+	Ended(fingerprint Fingerprint)
+}
