--- a/coordination/gradient/gradient_test.go
+++ b/coordination/gradient/gradient_test.go
@@ -85,7 +85,7 @@
 			}
 			f.run(100, service, 16, true)
 		}, 4, 30},
-		{"slow attempts that were cancelled count", func(f *trial) {
+		{"slow attempts that ended early count", func(f *trial) {
 			f.run(2000, service, 16, false)
 			for range 200 {
 				f.now = f.now.Add(100 * time.Millisecond)
--- a/coordination/hedging/hedging_test.go
+++ b/coordination/hedging/hedging_test.go
@@ -31,7 +31,7 @@
 // Guards against hedges that come too late behind a straggler, too early
 // because losers of hedged pairs aren't counted, or on outdated latencies.
 func TestDelay(t *testing.T) {
-	const served, cancelled = ebonyworks.AttemptServed, ebonyworks.AttemptCancelled
+	const served, ended = ebonyworks.AttemptServed, ebonyworks.AttemptCancelled
 	tests := []struct {
 		name    string
 		observe func(b *hedging.Budget)
@@ -52,12 +52,12 @@
 		{"losers count", func(b *hedging.Budget) {
 			observe(b, 900, served, 10*ms, false)
 			time.Sleep(time.Second)
-			observe(b, 100, cancelled, 15*ms, false)
+			observe(b, 100, ended, 15*ms, false)
 		}, 15 * ms},
 		{"early cancellations and hedges don't count", func(b *hedging.Budget) {
 			observe(b, 900, served, 10*ms, false)
 			time.Sleep(time.Second)
-			observe(b, 9000, cancelled, 5*ms, false)
+			observe(b, 9000, ended, 5*ms, false)
 			observe(b, 9000, served, 5*ms, true)
 		}, 10 * ms},
 		{"old samples are forgotten", func(b *hedging.Budget) {
--- a/state/register/register_test.go
+++ b/state/register/register_test.go
@@ -126,7 +126,7 @@
 	}{
 		{"slower sample counts at once", attempt(ebonyworks.AttemptServed, 100*time.Millisecond, 0, false), 0, 100 * time.Millisecond, 100 * time.Millisecond},
 		{"faster sample counts slowly", attempt(ebonyworks.AttemptServed, time.Millisecond, 0, false), 0, 9 * time.Millisecond, 10 * time.Millisecond},
-		{"cancelled loser is a lower bound", attempt(ebonyworks.AttemptCancelled, 50*time.Millisecond, 0, false), 0, 50 * time.Millisecond, 50 * time.Millisecond},
+		{"loser of a hedged pair is a lower bound", attempt(ebonyworks.AttemptCancelled, 50*time.Millisecond, 0, false), 0, 50 * time.Millisecond, 50 * time.Millisecond},
 		{"early cancellation teaches nothing", attempt(ebonyworks.AttemptCancelled, 1, 0, false), 0, 10 * time.Millisecond, 10 * time.Millisecond},
 		{"quick refusal doesn't look fast", attempt(ebonyworks.AttemptShed, 1, 0, false), 0, 20 * time.Millisecond, 20 * time.Millisecond},
 		{"peak decays", attempt(ebonyworks.AttemptServed, 100*time.Millisecond, 0, false), 6 * time.Second, 4 * time.Millisecond, 6 * time.Millisecond},
