--- a/coordination/bulletin/bulletin_test.go
+++ b/coordination/bulletin/bulletin_test.go
@@ -24,26 +24,17 @@
 				time.Sleep(bound)
 				f.expect(second, "service up")
 
-				for i, n := range f.nodes {
-					n.cutOff = i != int(seed)%size
-				}
-				f.wake()
+				f.arrange(func(i int, n *node) { n.cutOff = i != int(seed)%size })
 				time.Sleep(10 * time.Second)
 				third := f.publish(3, "three")
 				time.Sleep(bound)
 				f.expect(third, "one host reaches the service")
 
-				for i, n := range f.nodes {
-					n.cutOff = i%2 == 1
-					n.group = i % 2
-				}
-				f.wake()
+				f.arrange(func(i int, n *node) { n.cutOff, n.group = i%2 == 1, i%2 })
 				time.Sleep(30 * time.Second)
 				fourth := f.publish(4, "four")
 				time.Sleep(10 * time.Second)
-				for _, n := range f.nodes {
-					n.group = 0
-				}
+				f.arrange(func(_ int, n *node) { n.group = 0 })
 				time.Sleep(bound)
 				f.expect(fourth, "healed partition")
 			})
@@ -51,13 +42,23 @@
 	}
 }
 
+// arrange changes what the nodes can reach.
+func (f *fleet) arrange(change func(i int, n *node)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, n := range f.nodes {
+		change(i, n)
+	}
+	f.wake()
+}
+
 func (f *fleet) expect(mark ebonyworks.Mark, phase string) {
 	if lagging := f.lagging(mark); len(lagging) > 0 {
 		f.fail("%s: revision %d isn't in force on %v", phase, mark.Revision, lagging)
 	}
 	for _, n := range f.nodes {
-		if n.up && !n.ready() {
-			f.fail("%s: %s isn't ready: %v %v", phase, n.host.ID, n.guild.Readiness().Reasons, n.bulletin.Readiness().Reasons)
+		if l := n.current(); l != nil && !l.ready() {
+			f.fail("%s: %s isn't ready: %v %v", phase, n.host.ID, l.guild.Readiness().Reasons, l.bulletin.Readiness().Reasons)
 		}
 	}
 }
--- a/coordination/bulletin/fleet_test.go
+++ b/coordination/bulletin/fleet_test.go
@@ -64,18 +64,27 @@
 	return head, part, ebonyworks.Mark{Revision: revision, Digest: sha256.Sum256(head)}
 }
 
-// node is one host of a fleet, through all of its lives.
-type node struct {
-	fleet    *fleet
-	host     ebonyworks.Host
-	edition  *edition.Edition
+// life is one incarnation of a host.
+type life struct {
+	edition  edition.Edition
 	guild    *guild.Guild
 	bulletin *bulletin.Bulletin
 	tracker  *departure.Tracker
 	meter    *bulletin.Meter
 	stop     context.CancelFunc
 	done     chan struct{}
+}
+
+func (l *life) ready() bool {
+	return l.guild.Readiness().Ready() && l.bulletin.Readiness().Ready()
+}
+
+// node is one host of a fleet, through all of its lives.
+type node struct {
+	fleet *fleet
+	host  ebonyworks.Host
 	// The fields below are guarded by fleet.mu.
+	life        *life
 	up          bool
 	paused      chan struct{}
 	group       int
@@ -84,7 +93,6 @@
 	wasReady    bool
 	seen        ebonyworks.Mark
 	markHistory []markAt
-	spent       uint64
 }
 
 type markAt struct {
@@ -109,6 +117,7 @@
 	calls     int
 	exchanges int
 	faults    []string
+	inFlight  sync.WaitGroup
 }
 
 func newFleet(seed uint64, size int, loss float64) *fleet {
@@ -155,45 +164,55 @@
 	n.disturbed = time.Now()
 	seed := f.random.Uint64()
 	f.mu.Unlock()
-	n.edition = &edition.Edition{}
-	n.meter = bulletin.NewMeter(platform{n})
-	n.guild = guild.New(guild.Config{
-		Self: n.host, Seeds: []netip.AddrPort{f.nodes[0].host.Address}, Peer: peer{n}, Platform: n.meter,
+	l := &life{done: make(chan struct{}), meter: bulletin.NewMeter(platform{n})}
+	l.guild = guild.New(guild.Config{
+		Self: n.host, Seeds: []netip.AddrPort{f.nodes[0].host.Address}, Peer: peer{n}, Platform: l.meter,
 		Random:     rand.New(rand.NewPCG(seed, 2)),
-		ReadsOften: func() bool { return n.bulletin.ReadsOften() },
+		ReadsOften: func() bool { return l.bulletin.ReadsOften() },
 		Beat:       n.await,
 	})
-	n.bulletin = bulletin.New(bulletin.Config{
-		Self: n.host.ID, HeadKey: headKey, PartKey: partKey, Platform: n.meter, Peer: peer{n},
-		Documents: documents{}, Fellows: n.guild, Edition: n.edition, Random: rand.New(rand.NewPCG(seed, 3)),
+	l.bulletin = bulletin.New(bulletin.Config{
+		Self: n.host.ID, HeadKey: headKey, PartKey: partKey, Platform: l.meter, Peer: peer{n},
+		Documents: documents{}, Fellows: l.guild, Edition: &l.edition, Random: rand.New(rand.NewPCG(seed, 3)),
 	})
-	n.tracker = departure.New(departure.Config{Hasten: n.guild.Hasten})
-	n.guild.Attach(n.bulletin)
-	n.guild.Attach(n.tracker)
+	l.tracker = departure.New(departure.Config{Hasten: l.guild.Hasten})
+	l.guild.Attach(l.bulletin)
+	l.guild.Attach(l.tracker)
 	ctx, stop := context.WithCancel(context.Background())
-	n.stop, n.done = stop, make(chan struct{})
+	l.stop = stop
+	f.mu.Lock()
+	n.life = l
+	f.mu.Unlock()
 	go func() {
-		defer close(n.done)
+		defer close(l.done)
 		var runs sync.WaitGroup
-		runs.Go(func() { n.guild.Run(ctx) })
-		runs.Go(func() { n.bulletin.Run(ctx) })
+		runs.Go(func() { l.guild.Run(ctx) })
+		runs.Go(func() { l.bulletin.Run(ctx) })
 		runs.Wait()
 	}()
 }
 
+// current returns the life of the node, or nil if it is down.
+func (n *node) current() *life {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if !n.up {
+		return nil
+	}
+	return n.life
+}
+
 // kill ends the life of the node.
 func (n *node) kill() {
 	n.resume()
 	n.fleet.mu.Lock()
-	wasUp := n.up
+	wasUp, l := n.up, n.life
 	n.up = false
 	n.disturbed = time.Now()
 	n.fleet.mu.Unlock()
 	if wasUp {
-		n.stop()
-		<-n.done
-		made, _ := n.meter.Calls()
-		n.spent += made
+		l.stop()
+		<-l.done
 	}
 }
 
@@ -226,21 +245,18 @@
 	}
 }
 
-func (n *node) ready() bool {
-	return n.guild.Readiness().Ready() && n.bulletin.Readiness().Ready()
-}
-
 // carry models the way of one call to another host and back. A lost or cut
 // off message leaves the caller waiting. A paused receiver handles the message
 // when it resumes, even if the caller has gone.
-func (f *fleet) carry(ctx context.Context, from *node, to netip.AddrPort, handle func(*node) error) error {
+func (f *fleet) carry(ctx context.Context, from *node, to netip.AddrPort, handle func(*life) error) error {
 	from.await()
 	f.mu.Lock()
 	f.exchanges++
 	var target *node
+	var receiver *life
 	for _, candidate := range f.nodes {
 		if candidate.host.Address == to && candidate.up {
-			target = candidate
+			target, receiver = candidate, candidate.life
 		}
 	}
 	cut := target != nil && (target.group != from.group || f.random.Float64() < f.loss)
@@ -255,10 +271,14 @@
 		return ctx.Err()
 	}
 	result := make(chan error, 1)
-	go func() {
+	f.inFlight.Go(func() {
 		target.await()
-		result <- handle(target)
-	}()
+		if target.current() != receiver {
+			result <- errFault
+			return
+		}
+		result <- handle(receiver)
+	})
 	select {
 	case err := <-result:
 		time.Sleep(f.uniform(500*time.Microsecond, 2*time.Millisecond))
@@ -283,7 +303,7 @@
 func (p peer) Exchange(ctx context.Context, to netip.AddrPort, message ebonyworks.Exchange) (reply ebonyworks.Exchange, err error) {
 	p.node.observe(message.Mark)
 	var answer ebonyworks.Exchange
-	err = p.node.fleet.carry(ctx, p.node, to, func(target *node) error {
+	err = p.node.fleet.carry(ctx, p.node, to, func(target *life) error {
 		var err error
 		answer, err = target.guild.HandleExchange(ctx, message)
 		return err
@@ -296,7 +316,7 @@
 
 func (p peer) Relay(ctx context.Context, via, target netip.AddrPort) (bool, error) {
 	var answered bool
-	err := p.node.fleet.carry(ctx, p.node, via, func(relay *node) error {
+	err := p.node.fleet.carry(ctx, p.node, via, func(relay *life) error {
 		var err error
 		answered, err = relay.guild.HandleRelay(ctx, target)
 		return err
@@ -305,16 +325,16 @@
 }
 
 func (p peer) FetchHead(ctx context.Context, from netip.AddrPort) ([]byte, error) {
-	return p.fetch(ctx, from, func(source *node) ([]byte, error) { return source.bulletin.HandleFetchHead(ctx) })
+	return p.fetch(ctx, from, func(source *life) ([]byte, error) { return source.bulletin.HandleFetchHead(ctx) })
 }
 
 func (p peer) FetchPart(ctx context.Context, from netip.AddrPort, digest ebonyworks.Digest) ([]byte, error) {
-	return p.fetch(ctx, from, func(source *node) ([]byte, error) { return source.bulletin.HandleFetchPart(ctx, digest) })
+	return p.fetch(ctx, from, func(source *life) ([]byte, error) { return source.bulletin.HandleFetchPart(ctx, digest) })
 }
 
-func (p peer) fetch(ctx context.Context, from netip.AddrPort, get func(*node) ([]byte, error)) ([]byte, error) {
+func (p peer) fetch(ctx context.Context, from netip.AddrPort, get func(*life) ([]byte, error)) ([]byte, error) {
 	var bytes []byte
-	err := p.node.fleet.carry(ctx, p.node, from, func(source *node) error {
+	err := p.node.fleet.carry(ctx, p.node, from, func(source *life) error {
 		var err error
 		bytes, err = get(source)
 		return err
@@ -493,7 +513,7 @@
 func (f *fleet) lagging(mark ebonyworks.Mark) []ebonyworks.HostID {
 	var lagging []ebonyworks.HostID
 	for _, n := range f.nodes {
-		if n.up && n.edition.Mark() != mark {
+		if l := n.current(); l != nil && l.edition.Mark() != mark {
 			lagging = append(lagging, n.host.ID)
 		}
 	}
@@ -507,7 +527,7 @@
 		f := newFleet(seed, size, loss)
 		run(f)
 		f.stopAll()
-		synctest.Wait()
+		f.inFlight.Wait()
 		for _, fault := range f.faults {
 			t.Errorf("seed %d, %d hosts: %s", seed, size, fault)
 		}
