--- a/coordination/bulletin/fleet_test.go
+++ b/coordination/bulletin/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/bulletin"
 	"github.com/ebonyworks/ebonyworks/coordination/departure"
 	"github.com/ebonyworks/ebonyworks/coordination/guild"
+	"github.com/ebonyworks/ebonyworks/event"
 	"github.com/ebonyworks/ebonyworks/state/edition"
 )
 
@@ -90,7 +91,6 @@
 	group       int
 	cutOff      bool
 	disturbed   time.Time
-	wasReady    bool
 	seen        ebonyworks.Mark
 	markHistory []markAt
 }
@@ -117,6 +117,8 @@
 	calls     int
 	exchanges int
 	faults    []string
+	// settled is called when a host has become settled or refreshed.
+	settled func(n *node)
 	inFlight  sync.WaitGroup
 }
 
@@ -160,7 +162,7 @@
 	f := n.fleet
 	f.mu.Lock()
 	n.host.Incarnation++
-	n.up, n.wasReady, n.seen, n.markHistory = true, false, ebonyworks.Mark{}, nil
+	n.up, n.seen, n.markHistory = true, ebonyworks.Mark{}, nil
 	n.disturbed = time.Now()
 	seed := f.random.Uint64()
 	f.mu.Unlock()
@@ -169,11 +171,11 @@
 		Self: n.host, Seeds: []netip.AddrPort{f.nodes[0].host.Address}, Peer: peer{n}, Platform: l.meter,
 		Random:     rand.New(rand.NewPCG(seed, 2)),
 		ReadsOften: func() bool { return l.bulletin.ReadsOften() },
-		Beat:       n.await,
+		Beat:       n.await, Recorder: recorder{n},
 	})
 	l.bulletin = bulletin.New(bulletin.Config{
 		Self: n.host.ID, HeadKey: headKey, PartKey: partKey, Platform: l.meter, Peer: peer{n},
-		Documents: documents{}, Fellows: l.guild, Edition: &l.edition, Random: rand.New(rand.NewPCG(seed, 3)),
+		Documents: documents{}, Fellows: l.guild, Edition: &l.edition, Random: rand.New(rand.NewPCG(seed, 3)), Recorder: recorder{n},
 	})
 	l.tracker = departure.New(departure.Config{Hasten: l.guild.Hasten})
 	l.guild.Attach(l.bulletin)
@@ -192,6 +194,16 @@
 	}()
 }
 
+// recorder reports when a node may have become ready.
+type recorder struct{ node *node }
+
+func (r recorder) Record(recorded ebonyworks.Event) {
+	relevant := recorded.ID == event.ConfigurationSettled || recorded.ID == event.StateRefreshed
+	if relevant && r.node.fleet.settled != nil {
+		r.node.fleet.settled(r.node)
+	}
+}
+
 // current returns the life of the node, or nil if it is down.
 func (n *node) current() *life {
 	n.fleet.mu.Lock()
--- a/coordination/bulletin/schedule_test.go
+++ b/coordination/bulletin/schedule_test.go
@@ -21,7 +21,8 @@
 	defaultSchedules  = 1000
 	scheduleShards    = 10
 	departureBound    = 3 * time.Second
-	checkInterval     = 100 * time.Millisecond
+	// certainPause is a pause that the host notices in any case.
+	certainPause = 1500 * time.Millisecond
 )
 
 // Guards against hosts that go back, that become ready on an old
@@ -61,21 +62,18 @@
 	newest   ebonyworks.Mark
 	servers  int
 	checks   sync.WaitGroup
-	stop     chan struct{}
 }
 
 func (s *schedule) run() {
 	f := s.fleet
-	s.stop = make(chan struct{})
+	f.settled = s.checkReadiness
 	f.startAll()
 	s.publish()
-	s.checks.Go(s.watchReadiness)
 	for range 12 {
 		time.Sleep(f.uniform(100*time.Millisecond, 3*time.Second))
 		s.step()
 	}
 	s.recover()
-	close(s.stop)
 	s.checks.Wait()
 }
 
@@ -116,9 +114,7 @@
 		time.Sleep(f.uniform(0, time.Second))
 		n.start()
 	case 8:
-		n.pause()
-		time.Sleep(f.uniform(200*time.Millisecond, 4*time.Second))
-		n.resume()
+		s.pause(n)
 	case 9:
 		f.arrange(func(i int, n *node) { n.group, n.disturbed = (i+s.servers)%2, time.Now() })
 	case 10:
@@ -167,17 +163,15 @@
 	}
 }
 
-// watchReadiness checks each host that becomes ready.
-func (s *schedule) watchReadiness() {
-	for {
-		select {
-		case <-s.stop:
-			return
-		case <-time.After(checkInterval):
-		}
-		for _, n := range s.fleet.nodes {
-			s.checkReadiness(n)
-		}
+// pause stops a host for a while. When it goes on after a long pause, it must
+// not be ready at once.
+func (s *schedule) pause(n *node) {
+	began := time.Now()
+	n.pause()
+	time.Sleep(s.fleet.uniform(200*time.Millisecond, 4*time.Second))
+	n.resume()
+	if l := n.current(); l != nil && time.Since(began) > certainPause && l.ready() {
+		s.fleet.fail("%s is ready right after a pause of %v", n.host.ID, time.Since(began))
 	}
 }
 
@@ -194,8 +188,6 @@
 	ready := l.ready()
 	mine := l.edition.Mark()
 	f.mu.Lock()
-	became := ready && !n.wasReady
-	n.wasReady = ready
 	var ahead []ebonyworks.HostID
 	since := time.Now().Add(-time.Second)
 	for _, other := range f.nodes {
@@ -205,7 +197,7 @@
 		}
 	}
 	f.mu.Unlock()
-	if became && len(ahead) > 0 {
+	if ready && len(ahead) > 0 {
 		f.fail("%s became ready on revision %d although %v hold a newer one", n.host.ID, mine.Revision, ahead)
 	}
 }
