--- a/coordination/bulletin/bulletin.go
+++ b/coordination/bulletin/bulletin.go
@@ -30,7 +30,8 @@
 
 // Fellows is the membership as a Bulletin needs it. guild.Guild implements it.
 type Fellows interface {
-	// Alive returns the other members that are alive, ordered by id.
+	// Alive returns the other members that are alive, ordered by id. The slice
+	// is shared.
 	Alive() []ebonyworks.Host
 	// Candidates returns addresses at which no member is known to answer.
 	Candidates() []netip.AddrPort
--- a/coordination/bulletin/fleet_test.go
+++ b/coordination/bulletin/fleet_test.go
@@ -118,8 +118,8 @@
 	exchanges int
 	faults    []string
 	// settled is called when a host has become settled or refreshed.
-	settled func(n *node)
-	inFlight  sync.WaitGroup
+	settled  func(n *node)
+	inFlight sync.WaitGroup
 }
 
 func newFleet(seed uint64, size int, loss float64) *fleet {
--- a/coordination/bulletin/peers.go
+++ b/coordination/bulletin/peers.go
@@ -34,7 +34,7 @@
 	// settleRounds is how often peers that don't answer are asked before a
 	// host becomes ready without them, since messages can be lost.
 	settleRounds = 4
-	settleLast  = 1500 * time.Millisecond
+	settleLast   = 1500 * time.Millisecond
 )
 
 // heardMark is a configuration that a peer holds and this host doesn't.
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -56,6 +56,8 @@
 	// members has at most maxMembers entries, without this host.
 	members  map[ebonyworks.HostID]*entry
 	replaced bool
+	// alive is what Alive returned last; nil after a change.
+	alive []ebonyworks.Host
 }
 
 // New returns a roster that knows only the host itself.
@@ -105,6 +107,7 @@
 			return Change{}
 		}
 		r.members[fact.Host.ID] = &entry{member: fact, since: now}
+		r.alive = nil
 		return Change{Applied: true, New: true}
 	}
 	change := Change{Before: known.member.State, New: fact.Host.Incarnation > known.member.Host.Incarnation}
@@ -116,6 +119,7 @@
 		known.since = now
 	}
 	known.member, known.sent = fact, 0
+	r.alive = nil
 	return change
 }
 
@@ -144,6 +148,7 @@
 		case known.member.State == ebonyworks.MemberSuspect && age >= timeout:
 			known.member.State = ebonyworks.MemberDead
 			known.since, known.sent = now, 0
+			r.alive = nil
 			dead = append(dead, known.member)
 		case known.member.State == ebonyworks.MemberDead && age >= keepDead,
 			known.member.State == ebonyworks.MemberLeft && age >= keepLeft:
@@ -213,15 +218,21 @@
 }
 
 // Alive returns the members that are alive or only suspected, without this
-// host, ordered by id.
+// host, ordered by id. Callers must not modify the slice.
 func (r *Roster) Alive() []ebonyworks.Host {
-	var alive []ebonyworks.Host
-	for _, member := range r.Members() {
-		if member.State <= ebonyworks.MemberSuspect {
-			alive = append(alive, member.Host)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.alive != nil {
+		return r.alive
+	}
+	r.alive = make([]ebonyworks.Host, 0, len(r.members))
+	for _, known := range r.members {
+		if known.member.State <= ebonyworks.MemberSuspect {
+			r.alive = append(r.alive, known.member.Host)
 		}
 	}
-	return alive
+	slices.SortFunc(r.alive, func(a, b ebonyworks.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return r.alive
 }
 
 // Facts returns the facts for one message: those sent in fewer than limit
