--- a/coordination/search/attempt.go
+++ b/coordination/search/attempt.go
@@ -18,6 +18,8 @@
 	incarnation ebonyworks.Incarnation
 	hedge       bool
 	retry       bool
+	// trial is set for the single attempt of a request that isn't known to be safe.
+	trial bool
 }
 
 // do waits for a permit, sends the sub-search, checks the reply and passes on
@@ -35,6 +37,10 @@
 	if !ok {
 		return a.miss(ebonyworks.MissTimeout), record
 	}
+	if !a.stillAllowed() {
+		permit.Release(record)
+		return a.miss(ebonyworks.MissServerLost), record
+	}
 	ctx, span := a.span(ctx)
 	defer span.End()
 	start := time.Now()
@@ -56,6 +62,17 @@
 	return shardResult{shard: a.shard.shard.ID, covered: true, rows: answer.Rows}, record
 }
 
+// stillAllowed reports whether the attempt may be sent after the wait for the
+// permit. Reports of deaths under the request can have arrived meanwhile.
+func (a attempt) stillAllowed() bool {
+	inspection := a.run.coordinator.Inspection
+	if a.trial {
+		return inspection.StillAllowed(a.run.request.fingerprint, ebonyworks.Trial{Shard: a.shard.shard.ID, Server: a.server})
+	}
+	verdict, _ := inspection.Inspect(a.run.request.fingerprint)
+	return verdict != ebonyworks.RunNone
+}
+
 func (a attempt) span(ctx context.Context) (context.Context, trace.Span) {
 	return a.run.coordinator.tracer().Start(ctx, "attempt", trace.WithAttributes(
 		attribute.String("shard", string(a.shard.shard.ID)),
--- a/coordination/search/search.go
+++ b/coordination/search/search.go
@@ -50,7 +50,7 @@
 	Selection  ebonyworks.Selection
 	Hedging    ebonyworks.Hedging
 	Quota      ebonyworks.Quota
-	Inspection ebonyworks.Inspection
+	Inspection ebonyworks.TrialInspection
 	Admission  ebonyworks.Admission
 	Tracer     trace.Tracer
 	Recorder   ebonyworks.Recorder
--- a/coordination/search/trial.go
+++ b/coordination/search/trial.go
@@ -24,6 +24,7 @@
 		}
 		asked = append(asked, trial.Server.ID)
 		result := r.tryOn(ctx, trial)
+		r.coordinator.Inspection.Ended(r.request.fingerprint)
 		if result.covered {
 			r.tried = &result
 			return nil
@@ -48,7 +49,7 @@
 	shard := r.plan.shards[index]
 	ctx, cancel := context.WithTimeout(ctx, r.trialTimeout(ctx, shard))
 	defer cancel()
-	attempt := attempt{run: r, shard: shard, server: trial.Server, incarnation: r.incarnation(shard, trial.Server.ID)}
+	attempt := attempt{run: r, shard: shard, server: trial.Server, incarnation: r.incarnation(shard, trial.Server.ID), trial: true}
 	result, _ := attempt.do(ctx)
 	return result
 }
--- a/coordination/search/world_test.go
+++ b/coordination/search/world_test.go
@@ -313,6 +313,10 @@
 	w.verdict = ebonyworks.RunAll
 }
 
+func (w *world) StillAllowed(ebonyworks.Fingerprint, ebonyworks.Trial) bool { return true }
+
+func (w *world) Ended(ebonyworks.Fingerprint) {}
+
 type permit struct{}
 
 func (permit) Release(ebonyworks.AttemptRecord) {}
--- a/policy.go
+++ b/policy.go
@@ -119,7 +119,6 @@
 	Survived(fingerprint Fingerprint)
 }
 
-<<<<<<< HEAD
 // Observer receives measurements. Implementations don't block.
 type Observer interface {
 	// AttemptEnded is called once for each attempt at a server.
@@ -129,7 +128,6 @@
 	// ReservationEnded is called once for each reservation that this host
 	// answered.
 	ReservationEnded(route RouteID, outcome Outcome, elapsed time.Duration)
-=======
 // TrialInspection is an Inspection that runs the single attempts of one
 // fingerprint one after the other on its host. Its Choose waits for a bounded
 // time while another attempt runs.
@@ -141,5 +139,4 @@
 	// Ended ends the attempt that Choose allowed. It is called after Died and
 	// Survived too, and when nothing was sent.
 	Ended(fingerprint Fingerprint)
->>>>>>> reservations
 }
