--- a/policy.go
+++ b/policy.go
@@ -128,6 +128,8 @@
 	// ReservationEnded is called once for each reservation that this host
 	// answered.
 	ReservationEnded(route RouteID, outcome Outcome, elapsed time.Duration)
+}
+
 // TrialInspection is an Inspection that runs the single attempts of one
 // fingerprint one after the other on its host. Its Choose waits for a bounded
 // time while another attempt runs.
