--- a/coordination/search/search_test.go
+++ b/coordination/search/search_test.go
@@ -63,7 +63,7 @@
 		for _, everywhere := range []bool{false, true} {
 			t.Run(fmt.Sprintf("fault %d everywhere %v", planned, everywhere), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					w := newWorld(services, 1)
+					w := newWorld(1)
 					w.reportAll(snapshot(3, 1))
 					w.plan = func(server ebonyworks.ServerID, _ ebonyworks.SubSearch) fault {
 						if server == "stock-finder-01a" || (everywhere && server == "stock-finder-01b") {
@@ -85,7 +85,7 @@
 // Guards against answers that wait for the deadline although nothing can come.
 func TestHopelessShardDoesNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(services, 1)
+		w := newWorld(1)
 		w.reportAll(snapshot(3, 1))
 		w.plan = func(ebonyworks.ServerID, ebonyworks.SubSearch) fault { return lost }
 		start := time.Now()
@@ -101,7 +101,7 @@
 // has completed it.
 func TestUnknownRequestRunsOnOneServerFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(services, 1)
+		w := newWorld(1)
 		w.reportAll(snapshot(3, 1))
 		w.verdict = ebonyworks.RunOne
 		w.plan = func(ebonyworks.ServerID, ebonyworks.SubSearch) fault { return lost }
@@ -156,7 +156,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(services, 1)
+				w := newWorld(1)
 				w.reportAll(tc.base...)
 				for _, change := range tc.changes {
 					w.report(change.server, change.snapshots...)
@@ -175,7 +175,7 @@
 // search runs: the whole search starts again on another.
 func TestRestartsWhenSnapshotIsGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(services, 1)
+		w := newWorld(1)
 		w.reportAll(snapshot(2, 1), snapshot(3, 2))
 		w.plan = func(server ebonyworks.ServerID, sub ebonyworks.SubSearch) fault {
 			if sub.Snapshot.Number == 3 && (server == "stock-finder-02a" || server == "stock-finder-02b") {
@@ -194,7 +194,7 @@
 // Guards against waiting past the deadline when servers hang.
 func TestSealsAtDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(services, 1)
+		w := newWorld(1)
 		w.reportAll(snapshot(3, 1))
 		w.plan = func(server ebonyworks.ServerID, _ ebonyworks.SubSearch) fault {
 			if server[:15] == "stock-finder-01" {
@@ -234,7 +234,7 @@
 
 func randomSchedule(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 2))
-	w := newWorld(services, seed)
+	w := newWorld(seed)
 	w.reportAll(snapshot(1, 1))
 	rate := random.IntN(100)
 	if random.IntN(2) == 0 {
--- a/coordination/search/world_test.go
+++ b/coordination/search/world_test.go
@@ -62,7 +62,7 @@
 
 // newWorld has services with two servers each. Epoch 1 has one shard for each
 // service; epoch 2 moves every shard to the next service and halves it.
-func newWorld(services int, seed uint64) *world {
+func newWorld(seed uint64) *world {
 	cat := ebonyworks.Catalogue{ID: stock}
 	first := ebonyworks.Partition{Epoch: 1}
 	second := ebonyworks.Partition{Epoch: 2}
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -23,14 +23,14 @@
 	exitInvalid = 2
 )
 
-// invalidSettings lists every mistake of a settings file.
-type invalidSettings struct {
+// invalidSettingsError lists every mistake of a settings file.
+type invalidSettingsError struct {
 	path     string
 	problems []ebonyworks.Problem
 }
 
 // Error returns one line for each mistake.
-func (e *invalidSettings) Error() string {
+func (e *invalidSettingsError) Error() string {
 	text := e.path + ": the settings are invalid"
 	for _, problem := range e.problems {
 		text += fmt.Sprintf("\n  %s: %s", problem.Place, problem.Message)
@@ -50,7 +50,7 @@
 		return exitOK
 	}
 	_, _ = fmt.Fprintln(failures, "ebonyd:", err)
-	var invalid *invalidSettings
+	var invalid *invalidSettingsError
 	var usage *usageError
 	if errors.As(err, &invalid) || errors.As(err, &usage) {
 		return exitInvalid
@@ -96,7 +96,7 @@
 		RunE: func(_ *cobra.Command, arguments []string) error {
 			_, problems := settings.Load(arguments[0])
 			if len(problems) > 0 {
-				return &invalidSettings{path: arguments[0], problems: problems}
+				return &invalidSettingsError{path: arguments[0], problems: problems}
 			}
 			_, err := fmt.Fprintln(out, arguments[0]+": ok")
 			return err
@@ -110,7 +110,7 @@
 	}
 	loaded, problems := settings.Load(path)
 	if len(problems) > 0 {
-		return &invalidSettings{path: path, problems: problems}
+		return &invalidSettingsError{path: path, problems: problems}
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -129,7 +129,7 @@
 	for i, cancel := range s.cancels {
 		cancel()
 		if s.ended[i] != nil {
-			<-s.ended[i]
+			assert.NoError(s.t, <-s.ended[i])
 		}
 	}
 }
--- a/telemetry/observe.go
+++ b/telemetry/observe.go
@@ -96,7 +96,7 @@
 	case ebonyworks.AttemptTimeout:
 		return "timeout"
 	case ebonyworks.AttemptCancelled:
-		return "cancelled"
+		return "canceled"
 	case ebonyworks.AttemptInvalid:
 		return "invalid"
 	case ebonyworks.AttemptRejected:
