Open further connections in the background and test the fleet

A request waited for a second connection although the first was open, and failed if the server was at its cap. Alarms of abandoned requests stayed in the fine clock until they were due; they are removed now.

--- /dev/null
+++ b/cmd/ebony-server/run_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"net/netip"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+	"github.com/ebonyworks/ebonyworks/operator"
+	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
+)
+
+// Guards against a binary that can't serve what the operators' tool prints, or
+// doesn't stop in an orderly way.
+func TestCommand(t *testing.T) {
+	first := netip.MustParseAddrPort("127.78.1.1:20920")
+	publication, problems := kitakaze.Plan(operator.Addresses{First: first, PerHost: true}).Publish(1, ebonyworks.Mark{})
+	require.Empty(t, problems)
+	directory := t.TempDir()
+	for _, value := range publication.Values() {
+		path := filepath.Join(directory, filepath.FromSlash(string(value.Key)))
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, value.Bytes, 0o600))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	command := newCommand(&event.Recorder{})
+	command.SetArgs([]string{
+		"--configuration", directory, "--catalogue", "fitting-desk", "--admin", "127.78.1.1:20921",
+		"--origin", "Sapporo=127.10.0.0/16", "--drain-notice", "1ms", "--slow-factor", "2",
+	})
+	done := make(chan error, 1)
+	go func() { done <- command.ExecuteContext(ctx) }()
+	assert.Eventually(t, func() bool {
+		response, err := http.Get("http://127.78.1.1:20921/servers")
+		if err != nil {
+			return false
+		}
+		return assert.Equal(t, http.StatusOK, response.StatusCode) && response.Body.Close() == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	cancel()
+	assert.NoError(t, <-done)
+
+	wrong := newCommand(&event.Recorder{})
+	wrong.SetArgs([]string{"--configuration", directory, "--origin", "Sapporo"})
+	assert.ErrorContains(t, wrong.ExecuteContext(t.Context()), "--origin")
+}
--- a/protocol/shelfmark/codec_test.go
+++ b/protocol/shelfmark/codec_test.go
@@ -159,3 +159,24 @@
 		assert.Error(t, err, damaged)
 	}
 }
+
+// BenchmarkDecodeAnswer decodes a reply of 50 rows, the size of a shard of the
+// stand-in's stock-finder.
+func BenchmarkDecodeAnswer(b *testing.B) {
+	var codec shelfmark.Codec
+	big := answer
+	big.Rows = nil
+	for i := range 50 {
+		key := "b" + string(rune('a'+i/26)) + string(rune('a'+i%26))
+		big.Rows = append(big.Rows, ebonyworks.Row{Key: key, Fields: []ebonyworks.Field{
+			{Name: "Length", Value: "45"}, {Name: "Shade", Value: "7N"}, {Name: "Snapshot", Value: "5"}, {Name: "Stock", Value: "3"},
+		}})
+	}
+	reply := codec.EncodeAnswer(big, "")
+	b.ReportAllocs()
+	for b.Loop() {
+		if codec.DecodeAnswer(reply, search, server).Result != ebonyworks.AttemptServed {
+			b.Fatal("not served")
+		}
+	}
+}
--- /dev/null
+++ b/standin/printed/load_test.go
@@ -0,0 +1,45 @@
+package printed_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/operator"
+	"github.com/ebonyworks/ebonyworks/operator/retazos"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/standin/printed"
+)
+
+// Guards against stand-ins that serve something else than what is published.
+func TestLoad(t *testing.T) {
+	plan := retazos.Plan(operator.Addresses{})
+	publication, problems := plan.Publish(3, ebonyworks.Mark{})
+	require.Empty(t, problems)
+	directory := t.TempDir()
+	for _, value := range publication.Values() {
+		path := filepath.Join(directory, filepath.FromSlash(string(value.Key)))
+		require.NoError(t, os.MkdirAll(filepath.Dir(path), 0o755))
+		require.NoError(t, os.WriteFile(path, value.Bytes, 0o600))
+	}
+	want, problems := plan.Configuration()
+	require.Empty(t, problems)
+	got, err := printed.Load(directory)
+	require.NoError(t, err)
+	assert.Equal(t, publication.Mark(), got.Mark)
+	assert.ElementsMatch(t, want.Catalogues, got.Catalogues)
+
+	routes := filepath.Join(directory, filepath.FromSlash(string(notice.PartKey(notice.RoutesPart))))
+	require.NoError(t, os.WriteFile(routes, []byte("{}"), 0o600))
+	_, err = printed.Load(directory)
+	assert.ErrorContains(t, err, "problems")
+	require.NoError(t, os.Remove(routes))
+	_, err = printed.Load(directory)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	_, err = printed.Load(t.TempDir())
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
--- a/standin/server/clock.go
+++ b/standin/server/clock.go
@@ -49,21 +49,35 @@
 type alarm struct {
 	at   time.Time
 	ring chan struct{}
+	// index is the position in the heap, or -1.
+	index int
 }
 
-type alarms []alarm
+// alarms is a heap ordered by time.
+type alarms []*alarm
 
 func (a alarms) Len() int           { return len(a) }
 func (a alarms) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+
+func (a alarms) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].index = i
+	a[j].index = j
+}
 
 // Push adds an alarm.
-func (a *alarms) Push(x any) { *a = append(*a, x.(alarm)) }
+func (a *alarms) Push(x any) {
+	added := x.(*alarm)
+	added.index = len(*a)
+	*a = append(*a, added)
+}
 
 // Pop removes the last alarm.
 func (a *alarms) Pop() any {
 	last := (*a)[len(*a)-1]
+	(*a)[len(*a)-1] = nil
 	*a = (*a)[:len(*a)-1]
+	last.index = -1
 	return last
 }
 
@@ -82,22 +96,26 @@
 	if !until.After(time.Now()) {
 		return ctx.Err() == nil
 	}
-	ring := make(chan struct{})
+	mine := &alarm{at: until, ring: make(chan struct{})}
 	c.mu.Lock()
-	heap.Push(&c.alarms, alarm{at: until, ring: ring})
+	heap.Push(&c.alarms, mine)
 	c.mu.Unlock()
 	select {
 	case c.set <- struct{}{}:
 	default:
 	}
 	select {
-	case <-ring:
+	case <-mine.ring:
 		return true
 	case <-ctx.Done():
-		return false
 	case <-c.end:
-		return false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if mine.index >= 0 {
+		heap.Remove(&c.alarms, mine.index)
+	}
+	return false
 }
 
 func (c *fineClock) run() {
--- a/transport/stockroom/shelf.go
+++ b/transport/stockroom/shelf.go
@@ -12,6 +12,10 @@
 	"github.com/ebonyworks/ebonyworks/event"
 )
 
+// extraRetryInterval is the time between attempts to open a further connection
+// beside an open one. A server at its connection cap closes it each time.
+const extraRetryInterval = time.Second
+
 // invalidEventInterval bounds the events about invalid replies of one server.
 const invalidEventInterval = time.Second
 
@@ -37,6 +41,9 @@
 type lane struct {
 	link    *link
 	dialing *dialing
+	// retryAt is when a failed dial may be repeated while another lane has a
+	// connection.
+	retryAt time.Time
 }
 
 // link is an open connection and the attempts that use it, guarded by shelf.mu.
@@ -79,46 +86,51 @@
 	}
 }
 
-// take returns the least used open connection, or a dial to wait for.
+// take returns the least used open connection. If it is in use, a further one
+// is opened in the background, if the server has a lane left. If there is no
+// open connection, take returns a dial to wait for.
 func (s *shelf) take() (*link, *dialing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.retired {
 		return nil, nil, errRetired
 	}
-	chosen := s.leastUsed()
-	if chosen.link != nil {
-		chosen.link.users++
-		return chosen.link, nil, nil
+	used, empty := s.survey()
+	if used == nil {
+		return nil, s.startDial(empty), nil
 	}
-	if chosen.dialing == nil {
-		chosen.dialing = &dialing{done: make(chan struct{})}
-		go s.dial(chosen, chosen.dialing)
+	if used.link.users > 0 && empty != nil && !time.Now().Before(empty.retryAt) {
+		s.startDial(empty)
 	}
-	return nil, chosen.dialing, nil
+	used.link.users++
+	return used.link, nil, nil
 }
 
-// leastUsed drops ended connections and returns the lane with the fewest
-// attempts; a lane without connection counts as unused.
-func (s *shelf) leastUsed() *lane {
-	best := s.lanes[0]
+// survey drops ended connections and returns the least used lane with a
+// connection and the first one without; either can be nil.
+func (s *shelf) survey() (used, empty *lane) {
 	for _, candidate := range s.lanes {
 		if candidate.link != nil && candidate.link.conn.Err() != nil {
 			candidate.link.retire()
 			candidate.link = nil
 		}
-		if candidate.load() < best.load() {
-			best = candidate
+		switch {
+		case candidate.link == nil && empty == nil:
+			empty = candidate
+		case candidate.link != nil && (used == nil || candidate.link.users < used.link.users):
+			used = candidate
 		}
 	}
-	return best
+	return used, empty
 }
 
-func (l *lane) load() int {
-	if l.link == nil {
-		return 0
+// startDial returns the dial of the lane, which it starts if there is none.
+func (s *shelf) startDial(target *lane) *dialing {
+	if target.dialing == nil {
+		target.dialing = &dialing{done: make(chan struct{})}
+		go s.dial(target, target.dialing)
 	}
-	return l.link.users
+	return target.dialing
 }
 
 // dial opens the connection of a lane. It ends by the dial timeout or with the
@@ -133,6 +145,8 @@
 	}
 	if err == nil {
 		target.link = &link{conn: conn}
+	} else {
+		target.retryAt = time.Now().Add(extraRetryInterval)
 	}
 	s.noteDial(err)
 	target.dialing = nil
