--- a/protocol/shelfmark/codec.go
+++ b/protocol/shelfmark/codec.go
@@ -77,8 +77,8 @@
 
 // decode reads exactly one JSON object into the wire struct. encoding/json
 // matches names regardless of case, lets a repeated name overwrite parts of
-// the earlier value and replaces invalid UTF-8, so these are checked here: a
-// garbled reply must not decode into plausible rows.
+// the earlier value, takes null for any value and replaces invalid UTF-8, so
+// these are checked here: a garbled reply must not decode into plausible rows.
 func decode(body []byte, limit int, wire any) error {
 	if len(body) > limit {
 		return &MalformedError{Reason: "too large"}
@@ -95,7 +95,7 @@
 		return &MalformedError{Reason: "data after the object"}
 	}
 	if !exactNames(body) {
-		return &MalformedError{Reason: "name repeated or in the wrong case"}
+		return &MalformedError{Reason: "null, or name repeated or in the wrong case"}
 	}
 	return nil
 }
--- a/protocol/shelfmark/codec_test.go
+++ b/protocol/shelfmark/codec_test.go
@@ -125,6 +125,7 @@
 		"row outside keys":    replace(`"Key":"c"`, `"Key":"k"`),
 		"rows out of order":   replace(`"Key":"c"`, `"Key":"a"`),
 		"row twice":           replace(`"Key":"c"`, `"Key":"b"`),
+		"null leaving":        replace(`"Leaving":true`, `"Leaving":null`),
 		"negative queue":      replace(`"Queued":3`, `"Queued":-3`),
 		"unordered snapshots": replace(`{"Number":4`, `{"Number":5`),
 		"too large":           body + strings.Repeat(" ", 4096),
--- a/protocol/shelfmark/names.go
+++ b/protocol/shelfmark/names.go
@@ -23,7 +23,8 @@
 }
 
 // exactNames reports whether every name in valid JSON is a name of the
-// protocol in its exact spelling and occurs once in its object.
+// protocol in its exact spelling and occurs once in its object, and that there
+// is no null.
 func exactNames(body []byte) bool {
 	var stack [maxDepth]scope
 	depth := 0
@@ -41,6 +42,9 @@
 		case '}', ']':
 			depth--
 			expectName = false
+		case 'n':
+			// Outside of strings, only null has this letter.
+			return false
 		case ',':
 			expectName = stack[depth-1].object
 		case '"':
--- a/standin/server/handler.go
+++ b/standin/server/handler.go
@@ -152,7 +152,7 @@
 		return shelfmark.Reply{}, false
 	}
 	if result != ebonyworks.AttemptServed {
-		return s.codec.EncodeAnswer(s.refusedSearch(job, search, result), ""), true
+		return s.codec.EncodeAnswer(s.refusedSearch(job, search, result), refusalMessage(result)), true
 	}
 	s.counters.add(result)
 	answer := ebonyworks.SubAnswer{
@@ -212,7 +212,7 @@
 		return shelfmark.Reply{}, false
 	}
 	if result != ebonyworks.AttemptServed {
-		return s.codec.EncodeConfirmation(s.refusedReservation(job, reservation, result), ""), true
+		return s.codec.EncodeConfirmation(s.refusedReservation(job, reservation, result), refusalMessage(result)), true
 	}
 	s.counters.add(result)
 	confirmation := ebonyworks.SubConfirmation{
@@ -346,3 +346,18 @@
 	}
 	return 0
 }
+
+func refusalMessage(result ebonyworks.AttemptResult) string {
+	switch result {
+	case ebonyworks.AttemptShed:
+		return "the slots are busy and the queue is full"
+	case ebonyworks.AttemptDraining:
+		return "the server is leaving"
+	case ebonyworks.AttemptExpired:
+		return "the deadline passed before the request started"
+	case ebonyworks.AttemptSnapshotGone:
+		return "the server doesn't hold the snapshot"
+	default:
+		return "the server doesn't hold the shard or the key"
+	}
+}
