--- a/coordination/bulletin/bulletin.go
+++ b/coordination/bulletin/bulletin.go
@@ -186,6 +186,9 @@
 	if order > 0 {
 		b.hear(message)
 	}
+	if asked.IsZero() && message.Settled && !b.settled {
+		signal(b.settleWake)
+	}
 	if asked.IsZero() || asked.Before(b.doubted) {
 		return
 	}
--- a/coordination/bulletin/peers.go
+++ b/coordination/bulletin/peers.go
@@ -154,7 +154,11 @@
 			if !wait(ctx, b.uniform(delay/2, delay), b.settleWake) {
 				return
 			}
-			if round >= settleRounds {
+			switch {
+			case b.serviceAnswers():
+				// The other equal readings needn't wait for long.
+				delay = 2 * settleFirst
+			case round >= settleRounds:
 				delay = min(2*delay, settleLast)
 			}
 		}
@@ -194,6 +198,14 @@
 	return true
 }
 
+// serviceAnswers reports whether the last reading succeeded and more equal ones
+// are needed.
+func (b *Bulletin) serviceAnswers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.service.failing && b.service.equal > 0 && b.service.equal < equalReads
+}
+
 func (b *Bulletin) isSettled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/coordination/departure/departure_test.go
@@ -0,0 +1,129 @@
+package departure_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+)
+
+const server ebonyworks.ServerID = "stock-finder-01-a"
+
+func report(incarnation ebonyworks.Incarnation, leaving bool) ebonyworks.ServerReport {
+	return ebonyworks.ServerReport{Server: server, Incarnation: incarnation, Leaving: leaving}
+}
+
+func listed(leaving bool) []ebonyworks.ListedHost {
+	return []ebonyworks.ListedHost{{Name: string(server), Role: ebonyworks.ServerRole, Leaving: leaving}}
+}
+
+func fromPeer(incarnation ebonyworks.Incarnation, leaving bool) ebonyworks.Exchange {
+	return ebonyworks.Exchange{Departures: []ebonyworks.Departure{{Server: server, Incarnation: incarnation, Leaving: leaving}}}
+}
+
+// Guards against a leaving server that becomes usable again in the same life,
+// against a new life that stays unused, and against facts without an
+// incarnation that last for ever.
+func TestSources(t *testing.T) {
+	type step struct {
+		name    string
+		do      func(t *departure.Tracker)
+		leaving bool
+	}
+	observe := func(incarnation ebonyworks.Incarnation, leaving bool) func(*departure.Tracker) {
+		return func(t *departure.Tracker) { t.Observe(report(incarnation, leaving)) }
+	}
+	absorb := func(incarnation ebonyworks.Incarnation, leaving bool) func(*departure.Tracker) {
+		return func(t *departure.Tracker) { t.Absorb(fromPeer(incarnation, leaving), time.Time{}) }
+	}
+	list := func(leaving bool) func(*departure.Tracker) {
+		return func(t *departure.Tracker) { t.Listed(listed(leaving), time.Now()) }
+	}
+	sleep := func(d time.Duration) func(*departure.Tracker) {
+		return func(*departure.Tracker) { time.Sleep(d) }
+	}
+	cases := map[string][]step{
+		"own reply": {
+			{"alive", observe(3, false), false}, {"leaving", observe(3, true), true}, {"late reply", observe(3, false), true},
+			{"list says no", list(false), true}, {"older life", observe(2, false), true}, {"new life", observe(4, false), false},
+			{"old fact", absorb(3, true), false}, {"leaves again", absorb(4, true), true},
+		},
+		"go away": {
+			{"alive", observe(3, false), false},
+			{"go away", func(t *departure.Tracker) { t.GoAway(server) }, true},
+			{"later", sleep(time.Hour), true}, {"new life", absorb(4, false), false},
+		},
+		"go away of an unknown life": {
+			{"go away", func(t *departure.Tracker) { t.GoAway(server) }, true}, {"later", sleep(time.Minute), false},
+		},
+		"refused": {
+			{"refused", func(t *departure.Tracker) { t.Refused(server) }, true}, {"later", sleep(11 * time.Second), false},
+		},
+		"list": {
+			{"leaving", list(true), true}, {"replies all the same", observe(3, false), true}, {"list says no", list(false), false},
+		},
+		"list that lags behind a restart": {
+			{"alive", observe(3, false), false}, {"leaving", list(true), true}, {"new life", observe(4, false), false},
+			{"list still says leaving", list(true), false}, {"list caught up", list(false), false}, {"leaving", list(true), true},
+		},
+		"list that can't be read any more": {
+			{"leaving", list(true), true}, {"50 s", sleep(50 * time.Second), true}, {"70 s", sleep(20 * time.Second), false},
+		},
+		"peer's fact without a life": {
+			{"leaving", absorb(0, true), true}, {"echo", sleep(20 * time.Second), true},
+			{"doesn't renew", absorb(0, true), true}, {"expired", sleep(11 * time.Second), false},
+		},
+		"peer's fact ended by a later list": {
+			{"leaving", absorb(0, true), true}, {"older list", list(false), true}, {"wait", sleep(12 * time.Second), true}, {"list", list(false), false},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tracker := departure.New(departure.Config{})
+				for _, s := range steps {
+					s.do(tracker)
+					assert.Equal(t, s.leaving, tracker.Leaving(server), s.name)
+					assert.Equal(t, s.leaving, len(tracker.Facts()) == 1, s.name)
+				}
+			})
+		})
+	}
+}
+
+// Guards against facts that never leave the host, that are echoed without end,
+// or that exceed the budget of a message.
+func TestContribute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hastened, changed := 0, 0
+		tracker := departure.New(departure.Config{
+			Hasten:  func() { hastened++ },
+			Changed: func(ebonyworks.ServerID) { changed++ },
+		})
+		sent := func(budget int) []ebonyworks.Departure {
+			var message ebonyworks.Exchange
+			tracker.Contribute(&message, budget)
+			return message.Departures
+		}
+		tracker.Observe(report(3, false))
+		assert.Empty(t, sent(1000))
+		tracker.Listed(listed(true), time.Now())
+		assert.Equal(t, []ebonyworks.Departure{{Server: server, Leaving: true}}, sent(1000))
+		time.Sleep(5 * time.Second)
+		assert.Empty(t, sent(1000))
+		tracker.Observe(report(3, true))
+		assert.Empty(t, sent(10))
+		assert.Equal(t, []ebonyworks.Departure{{Server: server, Incarnation: 3, Leaving: true}}, sent(1000))
+		tracker.Observe(report(4, false))
+		assert.Equal(t, []ebonyworks.Departure{{Server: server, Incarnation: 4}}, sent(1000))
+		for range 100 {
+			assert.Len(t, sent(1000), 1)
+		}
+		assert.Equal(t, 2, hastened)
+		assert.Equal(t, 3, changed)
+	})
+}
--- /dev/null
+++ b/coordination/guild/guild_test.go
@@ -0,0 +1,319 @@
+package guild_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/guild"
+)
+
+// network connects guilds in memory. Closed ways lose every message.
+type network struct {
+	mu     sync.Mutex
+	guilds map[netip.AddrPort]*guild.Guild
+	closed map[[2]netip.AddrPort]bool
+	random *rand.Rand
+	loss   float64
+	listed []ebonyworks.ListedHost
+}
+
+// port is the ebonyworks.Peer of one host. The embedded nil interface stands
+// for calls that guilds don't make.
+type port struct {
+	ebonyworks.Peer
+	network *network
+	own     netip.AddrPort
+}
+
+func (p port) reach(ctx context.Context, to netip.AddrPort) (*guild.Guild, error) {
+	time.Sleep(time.Millisecond)
+	p.network.mu.Lock()
+	target := p.network.guilds[to]
+	lost := p.network.closed[[2]netip.AddrPort{p.own, to}] || p.network.random.Float64() < p.network.loss
+	p.network.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if target == nil {
+		return nil, errors.New("connection refused")
+	}
+	return target, nil
+}
+
+func (p port) Exchange(ctx context.Context, to netip.AddrPort, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	target, err := p.reach(ctx, to)
+	if err != nil {
+		return ebonyworks.Exchange{}, err
+	}
+	return target.HandleExchange(ctx, message)
+}
+
+func (p port) Relay(ctx context.Context, via, target netip.AddrPort) (bool, error) {
+	relay, err := p.reach(ctx, via)
+	if err != nil {
+		return false, err
+	}
+	return relay.HandleRelay(ctx, target)
+}
+
+type list struct {
+	ebonyworks.Platform
+	network *network
+}
+
+func (l list) Hosts(context.Context) ([]ebonyworks.ListedHost, error) {
+	if l.network.listed == nil {
+		return nil, errors.New("unavailable")
+	}
+	return l.network.listed, nil
+}
+
+// party is a number of hosts that are started and stopped together.
+type party struct {
+	*network
+	hosts []ebonyworks.Host
+	stops []func()
+}
+
+func newParty(size int, loss float64) *party {
+	p := &party{network: &network{
+		guilds: map[netip.AddrPort]*guild.Guild{},
+		closed: map[[2]netip.AddrPort]bool{},
+		random: rand.New(rand.NewPCG(1, 9)),
+		loss:   loss,
+		listed: []ebonyworks.ListedHost{},
+	}}
+	for i := range size {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7443)
+		host := ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprintf("entry-%02d", i)), Incarnation: 1, Address: address}
+		p.hosts = append(p.hosts, host)
+		p.stops = append(p.stops, nil)
+		p.start(i, nil)
+	}
+	return p
+}
+
+func (p *party) start(i int, beat func()) {
+	g := guild.New(guild.Config{
+		Self: p.hosts[i], Seeds: []netip.AddrPort{p.hosts[0].Address}, Peer: port{network: p.network, own: p.hosts[i].Address},
+		Platform: list{network: p.network}, Random: rand.New(rand.NewPCG(uint64(i), 1)), Beat: beat,
+	})
+	p.mu.Lock()
+	p.guilds[p.hosts[i].Address] = g
+	p.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	p.stops[i] = func() {
+		p.mu.Lock()
+		delete(p.guilds, p.hosts[i].Address)
+		p.mu.Unlock()
+		cancel()
+		<-done
+	}
+}
+
+func (p *party) stopAll() {
+	for _, stop := range p.stops {
+		stop()
+	}
+}
+
+func (p *party) guild(i int) *guild.Guild {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.guilds[p.hosts[i].Address]
+}
+
+// cut closes or opens the ways between two hosts.
+func (p *party) cut(i, j int, closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed[[2]netip.AddrPort{p.hosts[i].Address, p.hosts[j].Address}] = closed
+	p.closed[[2]netip.AddrPort{p.hosts[j].Address, p.hosts[i].Address}] = closed
+}
+
+// states returns what the hosts believe of host i, by state.
+func (p *party) states(i int) map[ebonyworks.MemberState]int {
+	states := map[ebonyworks.MemberState]int{}
+	for j := range p.hosts {
+		if g := p.guild(j); g != nil && j != i {
+			for _, member := range g.Members() {
+				if member.Host.ID == p.hosts[i].ID {
+					states[member.State]++
+				}
+			}
+		}
+	}
+	return states
+}
+
+// Guards against hosts that aren't found, crashes that aren't noticed or stay
+// after a restart, and members that leave but are taken for dead.
+func TestLifeOfMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(12, 0)
+		defer p.stopAll()
+		time.Sleep(5 * time.Second)
+		for i := range p.hosts {
+			assert.Len(t, p.guild(i).Alive(), 11)
+			assert.True(t, p.guild(i).Readiness().Ready(), p.guild(i).Readiness().Reasons)
+		}
+		p.stops[3]()
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberDead: 11}, p.states(3))
+		assert.Equal(t, []netip.AddrPort{p.hosts[3].Address}, p.guild(0).View().Unanswered)
+		p.hosts[3].Incarnation++
+		p.start(3, nil)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberAlive: 11}, p.states(3))
+
+		p.guild(5).Leave(t.Context())
+		assert.False(t, p.guild(5).Readiness().Ready())
+		p.stops[5]()
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberLeft: 11}, p.states(5))
+		p.start(5, nil)
+	})
+}
+
+// Guards against members that are declared dead because a few messages are
+// lost, or because one way between two hosts is cut.
+func TestLossDoesNotKill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(10, 0.05)
+		defer p.stopAll()
+		p.cut(0, 1, true)
+		for range 120 {
+			time.Sleep(time.Second)
+			for i := range p.hosts {
+				require.Zero(t, p.states(i)[ebonyworks.MemberDead], p.hosts[i].ID)
+			}
+		}
+	})
+}
+
+// Guards against sides of a partition that don't find each other again, and
+// against a host that doesn't say that it is alone.
+func TestPartitionHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(6, 0)
+		defer p.stopAll()
+		time.Sleep(5 * time.Second)
+		for i := 1; i < 6; i++ {
+			p.cut(0, i, true)
+		}
+		time.Sleep(time.Hour)
+		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberDead: 5}, p.states(0))
+		assert.True(t, p.guild(0).View().Isolated)
+		assert.Len(t, p.guild(0).View().Unanswered, 5)
+		assert.Empty(t, p.guild(0).Alive())
+		for i := 1; i < 6; i++ {
+			p.cut(0, i, false)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range p.hosts {
+			assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberAlive: 5}, p.states(i))
+			assert.False(t, p.guild(i).View().Isolated)
+		}
+	})
+}
+
+// Guards against a host that acts on what it knew before a pause, and against
+// an old incarnation that goes on after its host was replaced.
+func TestPauseAndReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(3, 0)
+		defer p.stopAll()
+		p.stops[2]()
+		pause := make(chan chan struct{}, 1)
+		p.start(2, func() {
+			select {
+			case resumed := <-pause:
+				<-resumed
+			default:
+			}
+		})
+		time.Sleep(5 * time.Second)
+		g := p.guild(2)
+		require.True(t, g.Readiness().Ready())
+		resumed := make(chan struct{})
+		pause <- resumed
+		p.cut(0, 2, true)
+		p.cut(1, 2, true)
+		time.Sleep(3 * time.Second)
+		p.cut(0, 2, false)
+		p.cut(1, 2, false)
+		assert.False(t, g.Readiness().Ready(), "paused for 3 s")
+		close(resumed)
+		time.Sleep(time.Second)
+		assert.True(t, g.Readiness().Ready(), g.Readiness().Reasons)
+
+		later := p.hosts[2]
+		later.Incarnation = 7
+		_, err := g.HandleExchange(t.Context(), ebonyworks.Exchange{From: p.hosts[0], Members: []ebonyworks.Member{{Host: later}}})
+		require.NoError(t, err)
+		assert.Equal(t, []string{"a later incarnation of this host is running"}, g.Readiness().Reasons)
+	})
+}
+
+// Guards against a host that is ready although it reaches neither a peer nor
+// the platform, and one that waits for peers when there are none.
+func TestReadinessAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(1, 0)
+		defer p.stopAll()
+		time.Sleep(3 * time.Second)
+		assert.True(t, p.guild(0).Readiness().Ready())
+		p.stops[0]()
+		p.listed = nil
+		p.start(0, nil)
+		time.Sleep(time.Minute)
+		assert.False(t, p.guild(0).Readiness().Ready())
+	})
+}
+
+// crashes is a CrashBook that remembers everything.
+type crashes struct{ reports, learned []ebonyworks.CrashReport }
+
+func (c *crashes) Reports() []ebonyworks.CrashReport      { return c.reports }
+func (c *crashes) Learn(reports []ebonyworks.CrashReport) { c.learned = append(c.learned, reports...) }
+
+// Guards against crash reports that don't travel, and against messages that
+// grow without bound.
+func TestMessagesAreBounded(t *testing.T) {
+	host := ebonyworks.Host{ID: "entry-00", Address: netip.MustParseAddrPort("10.0.0.1:1")}
+	g := guild.New(guild.Config{Self: host, Random: rand.New(rand.NewPCG(1, 1))})
+	book := &crashes{reports: make([]ebonyworks.CrashReport, 1000)}
+	g.Attach(guild.CrashCarrier{Book: book})
+	message := ebonyworks.Exchange{From: ebonyworks.Host{ID: "entry-01", Address: host.Address}, Crashes: make([]ebonyworks.CrashReport, 3)}
+	for i := range 400 {
+		id := ebonyworks.HostID(fmt.Sprintf("other-%03d", i))
+		message.Members = append(message.Members, ebonyworks.Member{Host: ebonyworks.Host{ID: id, Address: host.Address}})
+	}
+	reply, err := g.HandleExchange(t.Context(), message)
+	require.NoError(t, err)
+	assert.Len(t, book.learned, 3)
+	assert.LessOrEqual(t, len(reply.Members), 10)
+	assert.LessOrEqual(t, len(reply.Crashes), 10)
+	assert.NotEmpty(t, reply.Crashes)
+	message.Full = true
+	reply, err = g.HandleExchange(t.Context(), message)
+	require.NoError(t, err)
+	assert.Len(t, reply.Members, 402)
+}
--- /dev/null
+++ b/state/edition/edition_test.go
@@ -0,0 +1,70 @@
+package edition_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/state/edition"
+)
+
+func mark(revision ebonyworks.Revision, digest byte) ebonyworks.Mark {
+	return ebonyworks.Mark{Revision: revision, Digest: ebonyworks.Digest{digest}}
+}
+
+func bundle(m ebonyworks.Mark) edition.Bundle {
+	return edition.Bundle{
+		Configuration: &ebonyworks.Configuration{Mark: m},
+		Head:          []byte{byte(m.Revision)},
+		Parts:         []edition.StoredPart{{Digest: m.Digest, Bytes: []byte("part")}},
+	}
+}
+
+// Guards against a host that goes back to an older configuration, or that
+// doesn't say why an operator's change isn't in force.
+func TestAcceptOrder(t *testing.T) {
+	var e edition.Edition
+	now := time.Now()
+	assert.Nil(t, e.Current())
+	_, found := e.Head()
+	assert.False(t, found)
+	steps := []struct {
+		offered, inForce ebonyworks.Mark
+		accepted         bool
+	}{
+		{mark(2, 5), mark(2, 5), true},
+		{mark(1, 9), mark(2, 5), false},
+		{mark(2, 5), mark(2, 5), false},
+		{mark(2, 4), mark(2, 5), false},
+		{mark(2, 6), mark(2, 6), true},
+		{mark(3, 1), mark(3, 1), true},
+	}
+	for _, step := range steps {
+		assert.Equal(t, step.accepted, e.Accept(bundle(step.offered), now))
+		assert.Equal(t, step.inForce, e.Mark())
+	}
+	refusal, found := e.Refused(ebonyworks.Digest{5})
+	assert.True(t, found)
+	assert.Contains(t, refusal.Problems[0].Message, "larger digest")
+	part, found := e.Part(ebonyworks.Digest{1})
+	assert.True(t, found)
+	assert.Equal(t, "part", string(part))
+	_, found = e.Part(ebonyworks.Digest{5})
+	assert.False(t, found)
+}
+
+// Guards against a history of refusals that grows without bound.
+func TestRefusalsAreBounded(t *testing.T) {
+	var e edition.Edition
+	problems := []ebonyworks.Problem{{Place: "Routes", Message: "missing"}}
+	for i := range 100 {
+		assert.True(t, e.Refuse(mark(1, byte(i+1)), problems, time.Now()))
+		assert.False(t, e.Refuse(mark(1, byte(i+1)), problems, time.Now()))
+	}
+	assert.Len(t, e.Refusals(), 32)
+	assert.True(t, e.RefuseSibling(mark(1, 200), time.Now()))
+	_, found := e.Refused(ebonyworks.Digest{1})
+	assert.False(t, found)
+}
