Look for parts of several heads at a time

Each head now has its own search, which starts during the hold and asks the next source after 250 ms; a head whose parts couldn't be found no longer blocks readiness.

--- a/coordination/bulletin/accept.go
+++ b/coordination/bulletin/accept.go
@@ -21,13 +21,18 @@
 	maxCandidates = 8
 	// maxParts bounds the parts of one head.
 	maxParts = 1024
-	// partTime limits one reading of a part.
+	// partTime limits the search for one part.
 	partTime = 2 * time.Second
+	// partStagger is the time after which a part is asked for elsewhere, too.
+	partStagger = 250 * time.Millisecond
 	// partPeers is the number of other peers that are asked for a part.
 	partPeers = 3
-	// Incomplete candidates are tried again after a growing time.
+	// Parts that weren't found are looked for again after a growing time.
 	retryFirst = 200 * time.Millisecond
 	retryLast  = 2 * time.Second
+	// incompleteTime is how long an incomplete head is kept. If the service
+	// still shows it then, it starts again.
+	incompleteTime = time.Minute
 )
 
 var errMissingPart = errors.New("part not available")
@@ -37,15 +42,21 @@
 	mark  ebonyworks.Mark
 	head  ebonyworks.Head
 	bytes []byte
-	// due is when it may be accepted or tried again.
-	due     time.Time
-	backoff time.Duration
 	// source is the peer that has it in force; invalid if it is the service.
 	source netip.AddrPort
 	// asked is when the service was asked that returned it.
-	asked time.Time
-	// tried is set once it was due; until then, siblings are held as well.
-	tried bool
+	asked   time.Time
+	entered time.Time
+	// due is when it may be accepted. Until then, smaller siblings are held
+	// as well.
+	due time.Time
+	// parts are in the order of the head; nil until all were found.
+	parts     []ebonyworks.Part
+	gathering bool
+	// failures counts the searches that didn't find all parts.
+	failures   int
+	nextGather time.Time
+	backoff    time.Duration
 }
 
 // consider takes the bytes of a head from the service, or from a peer that
@@ -76,7 +87,7 @@
 // enter adds a candidate, or refuses it if it lost against the one in force.
 func (b *Bulletin) enter(entered candidate) {
 	now := time.Now()
-	entered.due = now.Add(holdTime)
+	entered.entered, entered.due = now, now.Add(holdTime)
 	if entered.source.IsValid() {
 		entered.due = now
 	}
@@ -96,7 +107,7 @@
 			continue
 		}
 		if entered.source.IsValid() {
-			known.source, known.due, known.backoff = entered.source, now, 0
+			known.source, known.due, known.nextGather, known.backoff = entered.source, now, now, 0
 			signal(b.acceptWake)
 		}
 		return
@@ -110,32 +121,57 @@
 // accept puts candidates in force when they are due, the newest first.
 func (b *Bulletin) accept(ctx context.Context) {
 	for wait(ctx, b.untilDue(time.Now()), b.acceptWake) {
+		for _, incomplete := range b.incompleteCandidates(time.Now()) {
+			b.tasks.Go(func() { b.complete(ctx, incomplete) })
+		}
 		for _, due := range b.dueCandidates(time.Now()) {
-			if b.try(ctx, due) {
+			if b.try(due) {
 				break
 			}
 		}
 	}
 }
 
+// untilDue returns how long nothing can be done about the candidates.
 func (b *Bulletin) untilDue(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	next := time.Minute
 	var held ebonyworks.Revision
 	for _, waiting := range b.candidates {
-		if waiting.mark.Revision != held {
+		switch {
+		case waiting.due.After(now):
 			next = min(next, waiting.due.Sub(now))
-		}
-		if !waiting.tried && waiting.due.After(now) {
 			held = waiting.mark.Revision
+		case waiting.parts != nil && waiting.mark.Revision != held:
+			next = 0
+		}
+		if waiting.parts == nil && !waiting.gathering {
+			next = min(next, waiting.nextGather.Sub(now))
 		}
 	}
 	return max(next, 0)
 }
 
-// dueCandidates returns the candidates that may be accepted now, the newest
-// first. While a candidate is held, its smaller siblings are, too.
+// incompleteCandidates returns the candidates whose parts are to be looked for
+// now. That starts while they are held, since an operator who publishes a
+// sibling overwrites the parts.
+func (b *Bulletin) incompleteCandidates(now time.Time) []candidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var incomplete []candidate
+	for i := range b.candidates {
+		waiting := &b.candidates[i]
+		if waiting.parts == nil && !waiting.gathering && !waiting.nextGather.After(now) {
+			waiting.gathering = true
+			incomplete = append(incomplete, *waiting)
+		}
+	}
+	return incomplete
+}
+
+// dueCandidates returns the complete candidates that may be accepted now, the
+// newest first. While a candidate is held, its smaller siblings are, too.
 func (b *Bulletin) dueCandidates(now time.Time) []candidate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -143,37 +179,60 @@
 	var held ebonyworks.Revision
 	for _, waiting := range b.candidates {
 		switch {
-		case !waiting.due.After(now) && waiting.mark.Revision != held:
-			due = append(due, waiting)
-		case !waiting.tried:
+		case waiting.due.After(now):
 			held = waiting.mark.Revision
+		case waiting.parts != nil && waiting.mark.Revision != held:
+			due = append(due, waiting)
 		}
 	}
 	return due
 }
 
-// try assembles a candidate and accepts or refuses it. It reports whether the
-// candidate was accepted.
-func (b *Bulletin) try(ctx context.Context, due candidate) bool {
-	parts, err := b.gather(ctx, due)
-	if err != nil {
-		b.postpone(due, err)
-		return false
+// complete looks for the parts of a candidate.
+func (b *Bulletin) complete(ctx context.Context, incomplete candidate) {
+	parts, err := b.gather(ctx, incomplete)
+	delay := b.uniform(retryFirst/2, retryFirst) + b.uniform(incomplete.backoff/2, incomplete.backoff)
+	now := time.Now()
+	b.mu.Lock()
+	for i := range b.candidates {
+		known := &b.candidates[i]
+		if known.mark != incomplete.mark {
+			continue
+		}
+		known.gathering, known.parts = false, parts
+		if err != nil {
+			known.failures++
+			known.nextGather = now.Add(delay)
+			known.backoff = min(2*known.backoff+retryFirst, retryLast)
+		}
+	}
+	b.candidates = slices.DeleteFunc(b.candidates, func(c candidate) bool {
+		return c.parts == nil && now.Sub(c.entered) > incompleteTime
+	})
+	b.mu.Unlock()
+	signal(b.acceptWake)
+	if err != nil && incomplete.failures == 0 {
+		b.record(event.ConfigurationIncomplete, append(markAttributes(incomplete.mark), event.Attribute("Error", err.Error()))...)
 	}
-	configuration, problems := b.config.Documents.Assemble(due.mark, due.head, parts)
+}
+
+// try accepts or refuses a complete candidate. It reports whether it was
+// accepted.
+func (b *Bulletin) try(due candidate) bool {
+	configuration, problems := b.config.Documents.Assemble(due.mark, due.head, due.parts)
 	if len(problems) > 0 {
 		b.refuse(due.mark, problems)
 		b.drop(due.mark)
 		return false
 	}
-	return b.enforce(due, configuration, parts)
+	return b.enforce(due, configuration)
 }
 
 // enforce puts a valid configuration in force and tells the peers.
-func (b *Bulletin) enforce(due candidate, configuration *ebonyworks.Configuration, parts []ebonyworks.Part) bool {
+func (b *Bulletin) enforce(due candidate, configuration *ebonyworks.Configuration) bool {
 	now := time.Now()
 	bundle := edition.Bundle{Configuration: configuration, Base: due.head.Base, Head: due.bytes}
-	for i, part := range parts {
+	for i, part := range due.parts {
 		bundle.Parts = append(bundle.Parts, edition.StoredPart{Digest: due.head.Parts[i].Digest, Bytes: part.Bytes})
 	}
 	b.mu.Lock()
@@ -248,27 +307,6 @@
 	b.heard = slices.DeleteFunc(b.heard, func(h heardMark) bool { return h.mark == mark })
 }
 
-// postpone tries an incomplete candidate again later.
-func (b *Bulletin) postpone(due candidate, cause error) {
-	delay := b.uniform(retryFirst/2, retryFirst) + b.uniform(due.backoff/2, due.backoff)
-	b.mu.Lock()
-	report := false
-	for i := range b.candidates {
-		known := &b.candidates[i]
-		if known.mark != due.mark {
-			continue
-		}
-		report = !known.tried
-		known.tried = true
-		known.due = time.Now().Add(delay)
-		known.backoff = min(2*known.backoff+retryFirst, retryLast)
-	}
-	b.mu.Unlock()
-	if report {
-		b.record(event.ConfigurationIncomplete, append(markAttributes(due.mark), event.Attribute("Error", cause.Error()))...)
-	}
-}
-
 // gather finds the parts of a candidate.
 func (b *Bulletin) gather(ctx context.Context, due candidate) ([]ebonyworks.Part, error) {
 	parts := make([]ebonyworks.Part, 0, len(due.head.Parts))
@@ -283,34 +321,71 @@
 }
 
 // part finds a part by its digest: in the configuration in force, at the peer
-// that named the head, on the service, and at other peers.
+// that named the head, on the service, and at other peers. Each is asked when
+// the one before failed or was slow.
 func (b *Bulletin) part(ctx context.Context, wanted ebonyworks.PartDigest, source netip.AddrPort) ([]byte, bool) {
 	if bytes, found := b.config.Edition.Part(wanted.Digest); found {
 		return bytes, true
 	}
+	ctx, cancel := context.WithTimeout(ctx, partTime)
+	defer cancel()
+	var searches []func() ([]byte, bool)
 	if source.IsValid() {
-		if bytes, found := b.partFrom(ctx, source, wanted.Digest); found {
-			return bytes, true
-		}
-	}
-	if value, err := b.read(ctx, b.config.PartKey(wanted.Name)); err == nil && matches(value.Bytes, wanted.Digest) {
-		return value.Bytes, true
+		searches = append(searches, func() ([]byte, bool) { return b.partFrom(ctx, source, wanted.Digest) })
 	}
+	searches = append(searches, func() ([]byte, bool) { return b.partFromService(ctx, wanted) })
 	for _, peer := range b.somePeers(partPeers) {
-		if bytes, found := b.partFrom(ctx, peer, wanted.Digest); found {
-			return bytes, true
+		searches = append(searches, func() ([]byte, bool) { return b.partFrom(ctx, peer, wanted.Digest) })
+	}
+	return b.race(searches)
+}
+
+// race starts each search when the one before failed or was slow, and returns
+// what the first successful one found. All end with their context.
+func (b *Bulletin) race(searches []func() ([]byte, bool)) ([]byte, bool) {
+	results := make(chan []byte, len(searches))
+	running := 0
+	for len(searches) > 0 || running > 0 {
+		if len(searches) > 0 {
+			search := searches[0]
+			searches = searches[1:]
+			running++
+			b.tasks.Go(func() {
+				bytes, found := search()
+				if !found {
+					bytes = nil
+				} else if bytes == nil {
+					bytes = []byte{}
+				}
+				results <- bytes
+			})
+		}
+		var stagger <-chan time.Time
+		if len(searches) > 0 {
+			stagger = time.After(partStagger)
+		}
+		select {
+		case bytes := <-results:
+			running--
+			if bytes != nil {
+				return bytes, true
+			}
+		case <-stagger:
 		}
 	}
 	return nil, false
 }
 
 func (b *Bulletin) partFrom(ctx context.Context, peer netip.AddrPort, digest ebonyworks.Digest) ([]byte, bool) {
-	ctx, cancel := context.WithTimeout(ctx, partTime)
-	defer cancel()
 	bytes, err := b.config.Peer.FetchPart(ctx, peer, digest)
 	return bytes, err == nil && matches(bytes, digest)
 }
 
+func (b *Bulletin) partFromService(ctx context.Context, wanted ebonyworks.PartDigest) ([]byte, bool) {
+	value, err := b.read(ctx, b.config.PartKey(wanted.Name))
+	return value.Bytes, err == nil && matches(value.Bytes, wanted.Digest)
+}
+
 func (b *Bulletin) somePeers(count int) []netip.AddrPort {
 	var peers []netip.AddrPort
 	for _, host := range b.config.Fellows.Alive() {
--- a/coordination/bulletin/bulletin_test.go
+++ b/coordination/bulletin/bulletin_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/bulletin"
 )
 
 const bound = 5 * time.Second
@@ -62,3 +67,100 @@
 		}
 	}
 }
+
+// Guards against operators who race: the larger digest must win on every host
+// and in every order, without the smaller one in force in between, and the
+// loser must be named with a reason.
+func TestRacingOperators(t *testing.T) {
+	for order, contents := range [][]string{{"left", "right"}, {"right", "left"}} {
+		bubble(t, uint64(order), 5, 0, func(f *fleet) {
+			f.startAll()
+			f.publish(1, "one")
+			time.Sleep(10 * time.Second)
+			one := f.publish(2, contents[0])
+			time.Sleep(150 * time.Millisecond)
+			other := f.publish(2, contents[1])
+			winner, loser := one, other
+			if other.Compare(one) > 0 {
+				winner, loser = other, one
+			}
+			time.Sleep(time.Minute)
+			f.expect(winner, "after the race")
+			for _, n := range f.nodes {
+				if n.held(time.Now()) != winner || len(n.markHistory) > 3 {
+					f.fail("%s had %v in force", n.host.ID, n.markHistory)
+				}
+				if n.current().bulletin.Stale() {
+					f.fail("%s is stale although the service shows the sibling that lost", n.host.ID)
+				}
+			}
+			refused := 0
+			for _, n := range f.nodes {
+				refusal, found := n.current().edition.Refused(loser.Digest)
+				if found && refusal.Problems[0].Place == "Revision" {
+					refused++
+				}
+			}
+			if refused == 0 {
+				f.fail("no host refused the loser")
+			}
+		})
+	}
+}
+
+// Guards against a configuration that is accepted in part, or one that is
+// refused and blocks the next.
+func TestInvalidIsRefusedAsAWhole(t *testing.T) {
+	bubble(t, 1, 4, 0, func(f *fleet) {
+		f.startAll()
+		first := f.publish(1, "one")
+		time.Sleep(10 * time.Second)
+		second := f.publish(2, "invalid")
+		time.Sleep(time.Minute)
+		f.expect(first, "invalid part")
+		watchers := 0
+		for _, n := range f.nodes {
+			l := n.current()
+			if refusal, found := l.edition.Refused(second.Digest); found && refusal.Problems[0].Place == "routes" {
+				watchers++
+			}
+			if l.bulletin.Stale() {
+				f.fail("%s is stale although the newest head is refused", n.host.ID)
+			}
+		}
+		if watchers < 3 {
+			f.fail("only %d hosts refused", watchers)
+		}
+		f.arrange(func(int, *node) {
+			value := f.live[headKey]
+			f.live[headKey] = ebonyworks.Value{Key: headKey, Version: value.Version + 1, Bytes: []byte("garbage")}
+		})
+		time.Sleep(time.Minute)
+		f.expect(first, "garbage")
+		third := f.publish(3, "three")
+		time.Sleep(bound)
+		f.expect(third, "after garbage")
+	})
+}
+
+// Guards against a host that calls the platform without bound.
+func TestMeter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 0)
+		meter := bulletin.NewMeter(platform{f.nodes[0]})
+		failed := 0
+		for range 500 {
+			if _, err := meter.Read(t.Context(), headKey); err != nil {
+				require.ErrorIs(t, err, bulletin.ErrTooManyCalls)
+				failed++
+			}
+		}
+		made, refused := meter.Calls()
+		assert.Equal(t, f.calls, int(made))
+		assert.Equal(t, failed, int(refused))
+		assert.Less(t, made, uint64(80))
+		time.Sleep(time.Second)
+		_, err := meter.Hosts(t.Context())
+		assert.NoError(t, err)
+	})
+}
--- a/coordination/bulletin/peers.go
+++ b/coordination/bulletin/peers.go
@@ -280,6 +280,10 @@
 	}
 }
 
+// newerCandidate reports whether a newer head may still be accepted. One whose
+// parts couldn't be found may never be.
 func (b *Bulletin) newerCandidate(mine ebonyworks.Mark) bool {
-	return len(b.candidates) > 0 && b.candidates[0].mark.Compare(mine) > 0
+	return slices.ContainsFunc(b.candidates, func(c candidate) bool {
+		return c.mark.Compare(mine) > 0 && c.failures == 0
+	})
 }
