--- a/coordination/bulletin/peers.go
+++ b/coordination/bulletin/peers.go
@@ -154,7 +154,11 @@
 			if !wait(ctx, b.uniform(delay/2, delay), b.settleWake) {
 				return
 			}
-			if round >= settleRounds {
+			switch {
+			case b.serviceAnswers():
+				// The other equal readings needn't wait for long.
+				delay = 2 * settleFirst
+			case round >= settleRounds:
 				delay = min(2*delay, settleLast)
 			}
 		}
@@ -194,6 +198,14 @@
 	return true
 }
 
+// serviceAnswers reports whether the last reading succeeded and more equal ones
+// are needed.
+func (b *Bulletin) serviceAnswers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.service.failing && b.service.equal > 0 && b.service.equal < equalReads
+}
+
 func (b *Bulletin) isSettled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -268,6 +280,10 @@
 	}
 }
 
+// newerCandidate reports whether a newer head may still be accepted. One whose
+// parts couldn't be found may never be.
 func (b *Bulletin) newerCandidate(mine ebonyworks.Mark) bool {
-	return len(b.candidates) > 0 && b.candidates[0].mark.Compare(mine) > 0
+	return slices.ContainsFunc(b.candidates, func(c candidate) bool {
+		return c.mark.Compare(mine) > 0 && c.failures == 0
+	})
 }
