--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,114 @@
+// Package load holds the types that the parts of the load and experiment tool
+// share: requests, their results, and the interfaces between a run and the
+// system under test.
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// Request is one request of a caller as the tool draws it.
+type Request struct {
+	Route ebonyworks.RouteID
+	House ebonyworks.HouseID
+	// Kind tells whether this is a search or a reservation.
+	Kind ebonyworks.RouteKind
+	// Filters and Keys belong to searches.
+	Filters []ebonyworks.Field
+	Keys    ebonyworks.KeyRange
+	// Key and Fields belong to reservations.
+	Key    string
+	Fields []ebonyworks.Field
+	// Timeout is how long the caller waits for the host; zero leaves it to the
+	// route.
+	Timeout time.Duration
+}
+
+// Ending tells how a request ended. The zero value is Failed.
+type Ending int
+
+const (
+	// Failed means that no usable reply arrived; Result.Code has the reason.
+	Failed Ending = iota
+	// Answered means that a search got an answer, complete or not.
+	Answered
+	// Refused means that the host refused the request; Result.Code has the code.
+	Refused
+	// Settled means that a reservation got an outcome.
+	Settled
+)
+
+// Reasons of failed requests.
+const (
+	// FailedLimit means that the bound on outstanding requests was reached when
+	// the request was due, so it was never sent.
+	FailedLimit = "outstanding_limit"
+	// FailedNoHost means that no entry host was ready.
+	FailedNoHost = "no_host"
+	// FailedConnect means that no connection could be opened.
+	FailedConnect = "connect"
+	// FailedReset means that the connection ended before the reply.
+	FailedReset = "reset"
+	// FailedTimeout means that the client gave up.
+	FailedTimeout = "client_timeout"
+	// FailedReply means that the reply couldn't be understood.
+	FailedReply = "bad_reply"
+)
+
+// Result is what a caller got for one request.
+type Result struct {
+	Ending Ending
+	// Code is the code of a refusal, the reason of a failure, or the code of
+	// the outcome of a reservation.
+	Code string
+	// Outcome is meaningful if Ending is Settled.
+	Outcome ebonyworks.OutcomeKind
+	// Covered is the number of shards that the answer covers.
+	Covered int
+	// Missed are the shards that the answer misses.
+	Missed []ebonyworks.Miss
+	// Violations are the ways in which an answer contradicts itself or its
+	// request. A correct system causes none.
+	Violations []string
+}
+
+// Complete reports whether a search was answered and misses no shard.
+func (r Result) Complete() bool { return r.Ending == Answered && len(r.Missed) == 0 }
+
+// Useful returns the number of backend requests that the result needed at
+// least.
+func (r Result) Useful() int {
+	switch {
+	case r.Ending == Answered:
+		return r.Covered
+	case r.Ending == Settled && r.Outcome == ebonyworks.OutcomeRan:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Target runs requests. It returns at the latest shortly after the context
+// ends.
+type Target interface {
+	Do(ctx context.Context, request Request) Result
+}
+
+// Counters are the requests that the stand-in backend servers received since
+// they started, summed over all of them.
+type Counters struct {
+	// Received counts searches and reservations, also refused and cancelled ones.
+	Received uint64
+	// Reserved counts executions of reservations.
+	Reserved uint64
+	// Crashes counts the ends of servers because of a request.
+	Crashes uint64
+}
+
+// Meter reads the counters of the stand-ins.
+type Meter interface {
+	Read(ctx context.Context) (Counters, error)
+}
