--- a/event/tool.go
+++ b/event/tool.go
@@ -2,12 +2,34 @@
 
 import "github.com/ebonyworks/ebonyworks"
 
-// Events of stand-ins and tools, numbered from 7001.
+// Events of stand-ins and tools, numbered from 7001; those of the load tool
+// are numbered from 7501.
 const (
 	// ToolStarted is recorded when a stand-in or tool has started.
 	ToolStarted ebonyworks.EventID = 7001
+	// RunStarted is recorded when a run of the load tool starts.
+	RunStarted ebonyworks.EventID = 7501
+	// PhaseStarted is recorded when a phase of a run starts.
+	PhaseStarted ebonyworks.EventID = 7502
+	// FaultStarted is recorded when stand-ins were given a fault.
+	FaultStarted ebonyworks.EventID = 7503
+	// FaultEnded is recorded when the fault of stand-ins was ended.
+	FaultEnded ebonyworks.EventID = 7504
+	// FaultFailed is recorded when a fault couldn't be given or ended.
+	FaultFailed ebonyworks.EventID = 7505
+	// CountersUnread is recorded when the counters of the stand-ins couldn't be read.
+	CountersUnread ebonyworks.EventID = 7506
+	// RunEnded is recorded when a run has ended.
+	RunEnded ebonyworks.EventID = 7507
 )
 
 var toolEntries = []Entry{
 	{ID: ToolStarted, Level: Info, Message: "tool started", Action: "None."},
+	{ID: RunStarted, Level: Info, Message: "run started", Action: "None."},
+	{ID: PhaseStarted, Level: Info, Message: "phase started", Action: "None."},
+	{ID: FaultStarted, Level: Info, Message: "fault started", Action: "None."},
+	{ID: FaultEnded, Level: Info, Message: "fault ended", Action: "None."},
+	{ID: FaultFailed, Level: Error, Message: "fault could not be changed", Action: "Check that the stand-in servers run; the results of the run are not usable."},
+	{ID: CountersUnread, Level: Warning, Message: "counters of stand-ins could not be read", Action: "Check the administration addresses; the results lack the extra backend requests."},
+	{ID: RunEnded, Level: Info, Message: "run ended", Action: "None."},
 }
--- /dev/null
+++ b/load/entry/entry.go
@@ -0,0 +1,129 @@
+// Package entry sends requests to entry hosts over the callers' API and checks
+// the answers.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/load"
+	"github.com/ebonyworks/ebonyworks/load/balancer"
+	"github.com/ebonyworks/ebonyworks/protocol/order"
+)
+
+// Target is a load.Target of entry hosts behind a balancer.
+type Target struct {
+	Balancer *balancer.Balancer
+	// Configuration is what the hosts run; answers are checked against it.
+	Configuration *ebonyworks.Configuration
+	// Delay is the one-way delay between client and host, added on both sides
+	// of each exchange.
+	Delay time.Duration
+}
+
+var _ load.Target = (*Target)(nil)
+
+// Do sends the request to the next host that is ready. A host that can't be
+// connected to is removed and the next one is tried, since nothing was sent.
+func (t *Target) Do(ctx context.Context, request load.Request) load.Result {
+	var result load.Result
+	for range t.Balancer.Hosts() {
+		host, ok := t.Balancer.Pick()
+		if !ok {
+			return load.Result{Code: load.FailedNoHost}
+		}
+		result = t.DoAt(ctx, host, request)
+		if result.Ending != load.Failed || result.Code != load.FailedConnect {
+			return result
+		}
+		t.Balancer.Remove(host)
+	}
+	return result
+}
+
+// DoAt sends the request to the given host.
+func (t *Target) DoAt(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
+	if request.Kind == ebonyworks.ReservationRoute {
+		return t.reserve(ctx, host, request)
+	}
+	return t.search(ctx, host, request)
+}
+
+func (t *Target) search(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
+	load.Sleep(ctx, t.Delay)
+	outcome, err := host.Search(ctx, ebonyworks.Search{
+		Route:   request.Route,
+		House:   request.House,
+		Filters: request.Filters,
+		Keys:    request.Keys,
+	}, request.Timeout)
+	load.Sleep(ctx, t.Delay)
+	switch {
+	case err != nil:
+		return failed(ctx, err)
+	case outcome.Refusal != nil:
+		return load.Result{Ending: load.Refused, Code: string(outcome.Refusal.Code)}
+	}
+	return load.Result{
+		Ending:     load.Answered,
+		Covered:    len(outcome.Answer.Coverage.Covered),
+		Missed:     outcome.Answer.Coverage.Missed,
+		Violations: t.violations(request, outcome.Answer),
+	}
+}
+
+// reserve takes a ticket and runs the reservation at the same host, as a caller
+// with a connection to it does.
+func (t *Target) reserve(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
+	load.Sleep(ctx, t.Delay)
+	ticket, refusal, err := host.Ticket(ctx)
+	load.Sleep(ctx, t.Delay)
+	switch {
+	case err != nil:
+		return failed(ctx, err)
+	case refusal != nil:
+		return load.Result{Ending: load.Refused, Code: string(refusal.Code)}
+	}
+	load.Sleep(ctx, t.Delay)
+	outcome, err := host.Reserve(ctx, ebonyworks.Reservation{
+		Ticket: ticket,
+		Route:  request.Route,
+		House:  request.House,
+		Key:    request.Key,
+		Fields: request.Fields,
+	}, request.Timeout)
+	load.Sleep(ctx, t.Delay)
+	switch {
+	case err != nil:
+		return failed(ctx, err)
+	case outcome.Refusal != nil:
+		return load.Result{Ending: load.Refused, Code: string(outcome.Refusal.Code)}
+	}
+	return load.Result{Ending: load.Settled, Outcome: outcome.Kind, Code: string(outcome.Code)}
+}
+
+func failed(ctx context.Context, err error) load.Result {
+	return load.Result{Code: reason(ctx, err)}
+}
+
+// reason classifies the error of an exchange.
+func reason(ctx context.Context, err error) string {
+	var operation *net.OpError
+	switch {
+	case ctx.Err() != nil:
+		return load.FailedTimeout
+	case errors.As(err, &operation) && operation.Op == "dial":
+		return load.FailedConnect
+	case errors.As(err, new(*json.SyntaxError)),
+		errors.As(err, new(*json.UnmarshalTypeError)),
+		errors.As(err, new(*order.Error)):
+		return load.FailedReply
+	default:
+		return load.FailedReset
+	}
+}
--- a/load/load.go
+++ b/load/load.go
@@ -112,3 +112,16 @@
 type Meter interface {
 	Read(ctx context.Context) (Counters, error)
 }
+
+// Sleep waits for the time or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
