--- a/load/direct/direct.go
+++ b/load/direct/direct.go
@@ -90,12 +90,11 @@
 	if timeout == 0 {
 		timeout = route.DefaultDeadline
 	}
-	load.Sleep(ctx, t.delay)
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	id := ebonyworks.RequestID(fmt.Sprintf("direct-%d", t.requests.Add(1)))
 	result := t.run(bounded, id, catalogue, request)
-	load.Sleep(ctx, t.delay)
+	result.Delay = 2 * t.delay
 	return result
 }
 
--- a/load/entry/entry.go
+++ b/load/entry/entry.go
@@ -26,6 +26,9 @@
 	Delay time.Duration
 }
 
+// reservationExchanges are those for the ticket and for the reservation.
+const reservationExchanges = 2
+
 var _ load.Target = (*Target)(nil)
 
 // Do sends the request to the next host that is ready. A host that can't be
@@ -49,20 +52,22 @@
 // DoAt sends the request to the given host.
 func (t *Target) DoAt(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
 	if request.Kind == ebonyworks.ReservationRoute {
-		return t.reserve(ctx, host, request)
+		result := t.reserve(ctx, host, request)
+		result.Delay = 2 * reservationExchanges * t.Delay
+		return result
 	}
-	return t.search(ctx, host, request)
+	result := t.search(ctx, host, request)
+	result.Delay = 2 * t.Delay
+	return result
 }
 
 func (t *Target) search(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
-	load.Sleep(ctx, t.Delay)
 	outcome, err := host.Search(ctx, ebonyworks.Search{
 		Route:   request.Route,
 		House:   request.House,
 		Filters: request.Filters,
 		Keys:    request.Keys,
 	}, request.Timeout)
-	load.Sleep(ctx, t.Delay)
 	switch {
 	case err != nil:
 		return failed(ctx, err)
@@ -80,16 +85,13 @@
 // reserve takes a ticket and runs the reservation at the same host, as a caller
 // with a connection to it does.
 func (t *Target) reserve(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
-	load.Sleep(ctx, t.Delay)
 	ticket, refusal, err := host.Ticket(ctx)
-	load.Sleep(ctx, t.Delay)
 	switch {
 	case err != nil:
 		return failed(ctx, err)
 	case refusal != nil:
 		return load.Result{Ending: load.Refused, Code: string(refusal.Code)}
 	}
-	load.Sleep(ctx, t.Delay)
 	outcome, err := host.Reserve(ctx, ebonyworks.Reservation{
 		Ticket: ticket,
 		Route:  request.Route,
@@ -97,7 +99,6 @@
 		Key:    request.Key,
 		Fields: request.Fields,
 	}, request.Timeout)
-	load.Sleep(ctx, t.Delay)
 	switch {
 	case err != nil:
 		return failed(ctx, err)
--- a/load/load.go
+++ b/load/load.go
@@ -73,6 +73,10 @@
 	// Violations are the ways in which an answer contradicts itself or its
 	// request. A correct system causes none.
 	Violations []string
+	// Delay is the distance between client and host that was not slept and
+	// counts as latency. Each arrival at the hosts would be later by the same
+	// time, so sleeping would only add the inaccuracy of timers.
+	Delay time.Duration
 }
 
 // Complete reports whether a search was answered and misses no shard.
--- a/load/run/run.go
+++ b/load/run/run.go
@@ -23,9 +23,6 @@
 	// replySlack is how long after the deadline of its request a client waits
 	// for the reply.
 	replySlack = time.Second
-	// exchanges is the largest number of exchanges of one request: a ticket and
-	// a reservation.
-	exchanges = 2
 	// meterTimeout bounds the reading of the stand-ins' counters.
 	meterTimeout = 2 * time.Second
 )
@@ -155,7 +152,8 @@
 func (r *Run) send(ctx context.Context, phase int, due time.Duration, request load.Request) {
 	request.Timeout = r.Settings.Timeout
 	r.spawn(ctx, request, r.Target.Do, func(result load.Result) {
-		r.recorder.Add(report.Sample{Phase: phase, At: due, Latency: time.Since(r.start) - due, Result: result})
+		latency := time.Since(r.start) - due + result.Delay
+		r.recorder.Add(report.Sample{Phase: phase, At: due, Latency: latency, Result: result})
 	})
 }
 
@@ -182,7 +180,7 @@
 		route, _ := r.Configuration.Route(request.Route)
 		deadline = route.DefaultDeadline
 	}
-	return deadline + replySlack + 2*exchanges*r.Settings.ClientDelay
+	return deadline + replySlack
 }
 
 // prime sends every distinct search once to each host, evenly spaced, so that
--- a/load/scenario/check.go
+++ b/load/scenario/check.go
@@ -175,15 +175,15 @@
 		{"Factor", fault.Factor > 0, []FaultKind{Slow, Cold}},
 		{"Interval", fault.Interval > 0, []FaultKind{Snapshots}},
 		{"Value", fault.Value != "", []FaultKind{Crash}},
+		{"Report", fault.Report != "", []FaultKind{Lie}},
 	}
 	for _, option := range options {
 		c.option(document.Join(place, option.name), fault.Kind, option.set, option.kinds)
 	}
-	if (fault.SlotsBusy != 0 || fault.Queued != 0) && FaultKind(fault.Kind) != Lie {
-		c.add(place, "SlotsBusy and Queued belong to faults of the kind %s", Lie)
-	}
-	if fault.SlotsBusy < 0 || fault.Queued < 0 {
-		c.add(place, "SlotsBusy and Queued must not be negative")
+	switch Report(fault.Report) {
+	case "", Idle, Busy:
+	default:
+		c.add(document.Join(place, "Report"), "must be %q or %q, not %q", Idle, Busy, fault.Report)
 	}
 	c.kind(document.Join(place, "Kind"), FaultKind(fault.Kind))
 }
--- a/load/scenario/decode.go
+++ b/load/scenario/decode.go
@@ -66,15 +66,14 @@
 }
 
 type faultWire struct {
-	Kind      string
-	At        document.Duration `json:",omitempty"`
-	For       document.Duration `json:",omitempty"`
-	Servers   selectorWire      `json:",omitzero"`
-	Factor    int               `json:",omitempty"`
-	Interval  document.Duration `json:",omitempty"`
-	Value     string            `json:",omitempty"`
-	SlotsBusy int               `json:",omitempty"`
-	Queued    int               `json:",omitempty"`
+	Kind     string
+	At       document.Duration `json:",omitempty"`
+	For      document.Duration `json:",omitempty"`
+	Servers  selectorWire      `json:",omitzero"`
+	Factor   int               `json:",omitempty"`
+	Interval document.Duration `json:",omitempty"`
+	Value    string            `json:",omitempty"`
+	Report   string            `json:",omitempty"`
 }
 
 type selectorWire struct {
@@ -182,10 +181,9 @@
 			Replica:   w.Servers.Replica,
 			Services:  Parity(w.Servers.Services),
 		},
-		Factor:    w.Factor,
-		Interval:  time.Duration(w.Interval),
-		Value:     w.Value,
-		SlotsBusy: w.SlotsBusy,
-		Queued:    w.Queued,
+		Factor:   w.Factor,
+		Interval: time.Duration(w.Interval),
+		Value:    w.Value,
+		Report:   Report(w.Report),
 	}
 }
--- a/load/scenario/scenario.go
+++ b/load/scenario/scenario.go
@@ -131,11 +131,20 @@
 	Interval time.Duration
 	// Value is the filter value of Crash.
 	Value string
-	// SlotsBusy and Queued belong to Lie.
-	SlotsBusy int
-	Queued    int
+	// Report is what the servers report about their load in a Lie.
+	Report Report
 }
 
+// Report is a wrong load.
+type Report string
+
+const (
+	// Idle states that no slot is busy.
+	Idle Report = "Idle"
+	// Busy states that all slots are busy and the queue is full.
+	Busy Report = "Busy"
+)
+
 // Selector chooses servers; an empty field chooses all.
 type Selector struct {
 	Catalogue ebonyworks.CatalogueID
