--- a/load/load.go
+++ b/load/load.go
@@ -101,20 +101,52 @@
 	Do(ctx context.Context, request Request) Result
 }
 
-// Counters are the requests that the stand-in backend servers received since
-// they started, summed over all of them.
+// Counters are the requests that the stand-in backend servers ended since they
+// were started, summed over all of them and by result.
 type Counters struct {
-	// Received counts searches and reservations, also refused and cancelled ones.
-	Received uint64
-	// Reserved counts executions of reservations.
-	Reserved uint64
-	// Crashes counts the ends of servers because of a request.
+	Served, Shed, Draining, SnapshotGone, Expired, Cancelled, Rejected, Closed uint64
+	// Crashes counts requests that crashed their server.
 	Crashes uint64
 }
 
+// Received returns the number of requests, whatever became of them.
+func (c Counters) Received() uint64 {
+	return c.Served + c.Shed + c.Draining + c.SnapshotGone + c.Expired + c.Cancelled + c.Rejected + c.Closed
+}
+
+// Minus returns what was counted since the earlier reading.
+func (c Counters) Minus(earlier Counters) Counters {
+	return Counters{
+		Served:       c.Served - earlier.Served,
+		Shed:         c.Shed - earlier.Shed,
+		Draining:     c.Draining - earlier.Draining,
+		SnapshotGone: c.SnapshotGone - earlier.SnapshotGone,
+		Expired:      c.Expired - earlier.Expired,
+		Cancelled:    c.Cancelled - earlier.Cancelled,
+		Rejected:     c.Rejected - earlier.Rejected,
+		Closed:       c.Closed - earlier.Closed,
+		Crashes:      c.Crashes - earlier.Crashes,
+	}
+}
+
+// Executions are the reservations that the stand-ins ran since they were started.
+type Executions struct {
+	// Distinct is the number of reservations that were started at least once.
+	Distinct int
+	// Repeated is the number of those that were started more than once.
+	Repeated int
+}
+
+// Minus returns what was run since the earlier reading.
+func (e Executions) Minus(earlier Executions) Executions {
+	return Executions{Distinct: e.Distinct - earlier.Distinct, Repeated: e.Repeated - earlier.Repeated}
+}
+
 // Meter reads the counters of the stand-ins.
 type Meter interface {
 	Read(ctx context.Context) (Counters, error)
+	// Executions reads which reservations ran.
+	Executions(ctx context.Context) (Executions, error)
 }
 
 // Sleep waits for the time or until the context ends.
--- a/load/report/recorder.go
+++ b/load/report/recorder.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/load"
 )
 
@@ -23,6 +24,7 @@
 
 // Sample is one ended request.
 type Sample struct {
+	Kind ebonyworks.RouteKind
 	// Phase is the index of the phase in which the request was due.
 	Phase int
 	// At is when the request was due, since the start of the first phase.
@@ -55,6 +57,11 @@
 	useful     uint64
 	buckets    []bucket
 	resends    counts
+	// ran and unknown are the reservations with these outcomes, and those whose
+	// outcome the caller didn't get count as unknown.
+	ran, unknown    int
+	executionsKnown bool
+	executions      load.Executions
 }
 
 // NewRecorder returns a recorder for the number of phases and their total
@@ -72,6 +79,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.useful += uint64(sample.Result.Useful())
+	r.settle(sample)
 	if sample.Phase == Uncounted {
 		return
 	}
@@ -79,6 +87,25 @@
 	r.place(sample)
 }
 
+func (r *Recorder) settle(sample Sample) {
+	switch {
+	case sample.Kind != ebonyworks.ReservationRoute:
+	case sample.Result.Ending == load.Settled && sample.Result.Outcome == ebonyworks.OutcomeRan:
+		r.ran++
+	case sample.Result.Ending == load.Settled && sample.Result.Outcome == ebonyworks.OutcomeUnknown,
+		sample.Result.Ending == load.Failed:
+		r.unknown++
+	}
+}
+
+// SetExecutions records what the stand-ins ran during the run.
+func (r *Recorder) SetExecutions(executions load.Executions) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executionsKnown = true
+	r.executions = executions
+}
+
 // AddResend records the end of a repeated request. Repeated requests are not
 // part of the other figures.
 func (r *Recorder) AddResend(result load.Result) {
--- a/load/report/report_test.go
+++ b/load/report/report_test.go
@@ -25,7 +25,7 @@
 func TestResults(t *testing.T) {
 	recorder := NewRecorder(1, 2*time.Second)
 	recorder.Add(Sample{Phase: Uncounted, Latency: time.Hour, Result: answered(4, 0)})
-	recorder.Boundary(load.Counters{Received: 10, Reserved: 1}, true)
+	recorder.Boundary(load.Counters{Served: 8, Shed: 2}, true)
 	for i := range 99 {
 		recorder.Add(Sample{At: time.Duration(i) * 10 * time.Millisecond, Latency: 10 * time.Millisecond, Result: answered(4, 0)})
 	}
@@ -35,7 +35,7 @@
 	recorder.Add(Sample{Latency: 5 * time.Millisecond, Result: load.Result{Ending: load.Settled, Code: "done", Outcome: ebonyworks.OutcomeRan}})
 	recorder.Add(Sample{Latency: 7 * time.Millisecond, Result: load.Result{Ending: load.Settled, Code: "timeout"}})
 	// 397 shards were covered and one reservation ran.
-	recorder.Boundary(load.Counters{Received: 10 + 438, Reserved: 2}, true)
+	recorder.Boundary(load.Counters{Served: 400, Shed: 12, Cancelled: 36}, true)
 	results := recorder.Results(Origin{Scenario: "s"}, 400, []PhaseSpan{{Name: "One", Percent: 50, Duration: 2 * time.Second}})
 	require.Len(t, results, 1)
 	result := results[0]
@@ -51,7 +51,7 @@
 	assert.Equal(t, []Count{{"overloaded", 1}}, result.Refused)
 	assert.Equal(t, []Count{{load.FailedReset, 1}}, result.Failed)
 	assert.Equal(t, []Count{{"Ran", 1}, {"Unknown", 1}}, result.Reservations)
-	assert.Equal(t, []any{uint64(438), uint64(398), uint64(1)}, []any{result.Received, result.Useful, result.Reserved})
+	assert.Equal(t, []any{uint64(438), uint64(398), uint64(10)}, []any{result.Received, result.Useful, result.Backend.Shed})
 	assert.InEpsilon(t, 100*40.0/398, result.ExtraPercent, 1e-9)
 	// Samples at 0, 10, ..., 230 ms arrive in the first bucket.
 	require.Len(t, result.Timeline, 8)
@@ -69,13 +69,45 @@
 	assert.Contains(t, table.String(), "missed shards timeout 3; refused overloaded 1; failed reset 1; reservations Ran 1, Unknown 1")
 }
 
+// Guards against reservations whose outcome contradicts what the servers ran.
+func TestExecutions(t *testing.T) {
+	ran := load.Result{Ending: load.Settled, Outcome: ebonyworks.OutcomeRan}
+	notRun := load.Result{Ending: load.Settled, Outcome: ebonyworks.OutcomeNotRun}
+	unknown := load.Result{Ending: load.Settled, Outcome: ebonyworks.OutcomeUnknown}
+	lost := load.Result{Code: load.FailedReset}
+	tests := []struct {
+		name       string
+		results    []load.Result
+		executions load.Executions
+		want       []Count
+	}{
+		{"consistent", []load.Result{ran, notRun, unknown, lost}, load.Executions{Distinct: 3}, nil},
+		{"unknown and not run", []load.Result{ran, unknown, lost}, load.Executions{Distinct: 1}, nil},
+		{"twice", []load.Result{ran}, load.Executions{Distinct: 1, Repeated: 1}, []Count{{violationTwice, 1}}},
+		{"not run after all", []load.Result{ran, ran}, load.Executions{Distinct: 1}, []Count{{violationLess, 1}}},
+		{"run after all", []load.Result{ran, notRun}, load.Executions{Distinct: 2}, []Count{{violationHidden, 1}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			recorder := NewRecorder(1, time.Second)
+			for _, result := range test.results {
+				recorder.Add(Sample{Kind: ebonyworks.ReservationRoute, Phase: Uncounted, Result: result})
+			}
+			recorder.SetExecutions(test.executions)
+			results := recorder.Results(Origin{}, 1, []PhaseSpan{{Name: "P", Duration: time.Second}})
+			assert.Equal(t, test.want, results[0].Violations)
+			assert.Equal(t, test.want != nil, Violated(results))
+		})
+	}
+}
+
 // Guards against figures about the stand-ins that were not read, and against
 // a division by zero without answers.
 func TestUnknownCounters(t *testing.T) {
 	recorder := NewRecorder(2, time.Second)
-	recorder.Boundary(load.Counters{Received: 5}, true)
+	recorder.Boundary(load.Counters{Served: 5}, true)
 	recorder.Boundary(load.Counters{}, false)
-	recorder.Boundary(load.Counters{Received: 9}, true)
+	recorder.Boundary(load.Counters{Served: 9}, true)
 	half := PhaseSpan{Name: "P", Duration: time.Second / 2}
 	results := recorder.Results(Origin{}, 1, []PhaseSpan{half, half})
 	require.Len(t, results, 3)
--- a/load/report/result.go
+++ b/load/report/result.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks/load"
 )
 
 const percent = 100
@@ -85,10 +87,12 @@
 	// percent of Useful.
 	Received, Useful uint64
 	ExtraPercent     float64
-	// Reserved is the number of reservations that the stand-ins ran.
-	Reserved uint64
-	// Crashes is the number of servers that a request crashed.
-	Crashes uint64
+	// Backend divides Received by result.
+	Backend load.Counters
+	// Executions are the reservations that the stand-ins ran from the start of
+	// the run to its end, including those of the warm-up. They are in the result
+	// for all phases only.
+	Executions load.Executions
 	// MachineBusyPercent is the CPU use of the whole machine, zero if unknown.
 	MachineBusyPercent float64
 	// Violations counts answers that contradict themselves or their request.
@@ -119,6 +123,7 @@
 	total := r.result(origin, capacity, whole, all, 0, len(spans))
 	total.Timeline = r.timeline()
 	total.Resends = r.resends.sorted()
+	r.checkExecutions(&total)
 	return append(results, total)
 }
 
@@ -162,14 +167,37 @@
 		return
 	}
 	r.BackendKnown = true
-	r.Received = to.counters.Received - from.counters.Received
-	r.Reserved = to.counters.Reserved - from.counters.Reserved
-	r.Crashes = to.counters.Crashes - from.counters.Crashes
+	r.Backend = to.counters.Minus(from.counters)
+	r.Received = r.Backend.Received()
 	if r.Useful > 0 {
 		r.ExtraPercent = percent * (float64(r.Received) - float64(r.Useful)) / float64(r.Useful)
 	}
 }
 
+// Violations of what the stand-ins ran.
+const (
+	violationTwice  = "reservation_ran_twice"
+	violationLess   = "reservation_reported_but_not_run"
+	violationHidden = "reservation_run_but_reported_otherwise"
+)
+
+// checkExecutions compares what the stand-ins ran with what callers were told.
+func (r *Recorder) checkExecutions(total *Result) {
+	if !r.executionsKnown {
+		return
+	}
+	total.Executions = r.executions
+	distinct := r.executions.Distinct
+	add := func(name string, count int) {
+		if count > 0 {
+			total.Violations = append(total.Violations, Count{Name: name, Count: count})
+		}
+	}
+	add(violationTwice, r.executions.Repeated)
+	add(violationLess, r.ran-distinct)
+	add(violationHidden, distinct-r.ran-r.unknown)
+}
+
 // Write appends results as JSON lines.
 func Write(w io.Writer, results []Result) error {
 	encoder := json.NewEncoder(w)
--- a/load/report/table.go
+++ b/load/report/table.go
@@ -39,7 +39,7 @@
 	}
 	if r.BackendKnown {
 		extra = fmt.Sprintf("%.1f%%", r.ExtraPercent)
-		crashes = fmt.Sprint(r.Crashes)
+		crashes = fmt.Sprint(r.Backend.Crashes)
 	}
 	return []string{
 		r.User, r.Scenario, r.Policy, r.Phase, share,
--- a/load/run/run.go
+++ b/load/run/run.go
@@ -85,6 +85,7 @@
 	r.recorder = report.NewRecorder(len(r.Scenario.Phases), r.Scenario.Duration())
 	r.record(event.RunStarted, event.Attribute("Scenario", r.Scenario.Name), event.Attribute("Policy", origin.Policy))
 	defer r.requests.Wait()
+	executions, known := r.executions(ctx)
 	r.prime(ctx)
 	r.start = time.Now().Add(r.Scenario.WarmUp)
 	faults := r.startFaults(ctx)
@@ -94,6 +95,9 @@
 	r.dispatch(ctx)
 	helpers.Wait()
 	r.requests.Wait()
+	if after, ok := r.executions(ctx); ok && known {
+		r.recorder.SetExecutions(after.Minus(executions))
+	}
 	err := faults.wait()
 	if err == nil {
 		err = ctx.Err()
@@ -153,7 +157,7 @@
 	request.Timeout = r.Settings.Timeout
 	r.spawn(ctx, request, r.Target.Do, func(result load.Result) {
 		latency := time.Since(r.start) - due + result.Delay
-		r.recorder.Add(report.Sample{Phase: phase, At: due, Latency: latency, Result: result})
+		r.recorder.Add(report.Sample{Kind: request.Kind, Phase: phase, At: due, Latency: latency, Result: result})
 	})
 }
 
@@ -265,6 +269,19 @@
 	r.recorder.Boundary(counters, err == nil)
 }
 
+func (r *Run) executions(ctx context.Context) (load.Executions, bool) {
+	if r.Meter == nil {
+		return load.Executions{}, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, meterTimeout)
+	defer cancel()
+	executions, err := r.Meter.Executions(bounded)
+	if err != nil {
+		r.record(event.CountersUnread, event.Attribute("Error", err.Error()))
+	}
+	return executions, err == nil
+}
+
 // resend sends the scenario's repeated requests.
 func (r *Run) resend(ctx context.Context) {
 	var pending sync.WaitGroup
--- a/load/run/run_test.go
+++ b/load/run/run_test.go
@@ -71,7 +71,11 @@
 func (w *world) Read(context.Context) (load.Counters, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return load.Counters{Received: w.received}, nil
+	return load.Counters{Served: w.received / 2, Cancelled: w.received / 2}, nil
+}
+
+func (w *world) Executions(context.Context) (load.Executions, error) {
+	return load.Executions{Distinct: 7, Repeated: 1}, nil
 }
 
 func (w *world) note(text string) {
@@ -159,6 +163,7 @@
 		assert.Len(t, w.primed, 3*40)
 		assert.ElementsMatch(t, []string{"2.595s start Slow", "2.595s start Lie", "3.595s stop Slow", "4.595s stop Lie"}, w.log)
 		assert.Len(t, all.Timeline, 12)
+		assert.Empty(t, all.Violations)
 	})
 }
 
--- a/load/scenario/check.go
+++ b/load/scenario/check.go
@@ -127,6 +127,7 @@
 func (c *checker) scenario(place string, scenario scenarioWire) {
 	c.between(document.Join(place, "Prime"), scenario.Prime, 0, percent)
 	c.duration(document.Join(place, "WarmUp"), scenario.WarmUp, 0)
+	c.setup(document.Join(place, "Setup"), scenario.Setup)
 	phases := document.Join(place, "Phases")
 	if len(scenario.Phases) == 0 {
 		c.add(phases, "must list at least one phase")
@@ -146,6 +147,13 @@
 	}
 }
 
+func (c *checker) setup(place string, setup setupWire) {
+	c.duration(document.Join(place, "SnapshotPeriod"), setup.SnapshotPeriod, 0)
+	c.between(document.Join(place, "ColdFactor"), setup.ColdFactor, 0, maxPercent)
+	c.duration(document.Join(place, "ColdTime"), setup.ColdTime, 0)
+	c.duration(document.Join(place, "RestartHosts"), setup.RestartHosts, 0)
+}
+
 func (c *checker) within(place string, at document.Duration, total time.Duration) {
 	if d := time.Duration(at); d < 0 || d >= total {
 		c.add(place, "must be from 0s to before the end of the last phase at %v, not %v", total, d)
@@ -166,19 +174,19 @@
 func (c *checker) fault(place string, fault faultWire, total time.Duration) {
 	c.within(document.Join(place, "At"), fault.At, total)
 	c.duration(document.Join(place, "For"), fault.For, 0)
+	c.duration(document.Join(place, "Downtime"), fault.Downtime, 0)
 	c.selector(document.Join(place, "Servers"), fault.domain().Servers)
 	options := []struct {
-		name  string
-		set   bool
-		kinds []FaultKind
+		name string
+		set  bool
+		kind FaultKind
 	}{
-		{"Factor", fault.Factor > 0, []FaultKind{Slow, Cold}},
-		{"Interval", fault.Interval > 0, []FaultKind{Snapshots}},
-		{"Value", fault.Value != "", []FaultKind{Crash}},
-		{"Report", fault.Report != "", []FaultKind{Lie}},
+		{"Factor", fault.Factor > 0, Slow},
+		{"Value", fault.Value != "", Crash},
+		{"Report", fault.Report != "", Lie},
 	}
 	for _, option := range options {
-		c.option(document.Join(place, option.name), fault.Kind, option.set, option.kinds)
+		c.option(document.Join(place, option.name), FaultKind(fault.Kind), option.set, option.kind)
 	}
 	switch Report(fault.Report) {
 	case "", Idle, Busy:
@@ -188,23 +196,19 @@
 	c.kind(document.Join(place, "Kind"), FaultKind(fault.Kind))
 }
 
-// option checks that the option is set for exactly the kinds that need it.
-func (c *checker) option(place, kind string, set bool, kinds []FaultKind) {
-	needed := false
-	for _, each := range kinds {
-		needed = needed || each == FaultKind(kind)
-	}
+// option checks that the option is set for exactly the kind that needs it.
+func (c *checker) option(place string, kind FaultKind, set bool, owner FaultKind) {
 	switch {
-	case needed && !set:
+	case kind == owner && !set:
 		c.add(place, "must be set for a fault of the kind %s", kind)
-	case set && !needed:
+	case set && kind != owner:
 		c.add(place, "doesn't belong to a fault of the kind %q", kind)
 	}
 }
 
 func (c *checker) kind(place string, kind FaultKind) {
 	switch kind {
-	case Slow, Freeze, Kill, Crash, Lie, Drain, Cold, Snapshots:
+	case Slow, Freeze, Kill, Crash, Lie, Drain, Restart:
 	default:
 		c.add(place, "unknown kind %q", kind)
 	}
--- a/load/scenario/decode.go
+++ b/load/scenario/decode.go
@@ -44,6 +44,14 @@
 	Phases  []phaseWire
 	Faults  []faultWire  `json:",omitempty"`
 	Resends []resendWire `json:",omitempty"`
+	Setup   setupWire    `json:",omitzero"`
+}
+
+type setupWire struct {
+	SnapshotPeriod document.Duration `json:",omitempty"`
+	ColdFactor     int               `json:",omitempty"`
+	ColdTime       document.Duration `json:",omitempty"`
+	RestartHosts   document.Duration `json:",omitempty"`
 }
 
 type phaseWire struct {
@@ -71,7 +79,7 @@
 	For      document.Duration `json:",omitempty"`
 	Servers  selectorWire      `json:",omitzero"`
 	Factor   int               `json:",omitempty"`
-	Interval document.Duration `json:",omitempty"`
+	Downtime document.Duration `json:",omitempty"`
 	Value    string            `json:",omitempty"`
 	Report   string            `json:",omitempty"`
 }
@@ -147,7 +155,17 @@
 }
 
 func (w scenarioWire) domain() Scenario {
-	scenario := Scenario{Name: w.Name, Prime: w.Prime, WarmUp: time.Duration(w.WarmUp)}
+	scenario := Scenario{
+		Name:   w.Name,
+		Prime:  w.Prime,
+		WarmUp: time.Duration(w.WarmUp),
+		Setup: Setup{
+			SnapshotPeriod: time.Duration(w.Setup.SnapshotPeriod),
+			ColdFactor:     w.Setup.ColdFactor,
+			ColdTime:       time.Duration(w.Setup.ColdTime),
+			RestartHosts:   time.Duration(w.Setup.RestartHosts),
+		},
+	}
 	for _, phase := range w.Phases {
 		scenario.Phases = append(scenario.Phases, Phase{
 			Name:     phase.Name,
@@ -182,7 +200,7 @@
 			Services:  Parity(w.Servers.Services),
 		},
 		Factor:   w.Factor,
-		Interval: time.Duration(w.Interval),
+		Downtime: time.Duration(w.Downtime),
 		Value:    w.Value,
 		Report:   Report(w.Report),
 	}
--- a/load/scenario/scenario.go
+++ b/load/scenario/scenario.go
@@ -64,6 +64,22 @@
 	Phases  []Phase
 	Faults  []Fault
 	Resends []Resend
+	Setup   Setup
+}
+
+// Setup is what the script that starts the processes needs to know. The tool
+// doesn't use it itself.
+type Setup struct {
+	// SnapshotPeriod is the time between snapshots; zero means that there is
+	// only one.
+	SnapshotPeriod time.Duration
+	// ColdFactor multiplies the service times of started servers for ColdTime;
+	// zero means that they start warm.
+	ColdFactor int
+	ColdTime   time.Duration
+	// RestartHosts is the time between the restarts of one entry host after the
+	// other; zero means that none is restarted.
+	RestartHosts time.Duration
 }
 
 // Duration returns the counted time.
@@ -111,10 +127,9 @@
 	Lie FaultKind = "Lie"
 	// Drain lets the servers leave gracefully.
 	Drain FaultKind = "Drain"
-	// Cold restarts the servers, which then are slow until they are warm.
-	Cold FaultKind = "Cold"
-	// Snapshots publishes a new snapshot every Interval.
-	Snapshots FaultKind = "Snapshots"
+	// Restart kills the servers and starts them again, which makes them cold if
+	// the stand-ins have a cold start.
+	Restart FaultKind = "Restart"
 )
 
 // Fault is a fault of some servers for some time.
@@ -125,12 +140,12 @@
 	// For is the length; zero lasts until the end of the scenario.
 	For     time.Duration
 	Servers Selector
-	// Factor belongs to Slow and Cold.
+	// Factor belongs to Slow.
 	Factor int
-	// Interval belongs to Snapshots.
-	Interval time.Duration
-	// Value is the filter value of Crash.
-	Value string
+	// Value is the filter value of Crash, and Downtime how long a crashed server
+	// is away; zero leaves it to the stand-ins.
+	Value    string
+	Downtime time.Duration
 	// Report is what the servers report about their load in a Lie.
 	Report Report
 }
