--- a/load/load.go
+++ b/load/load.go
@@ -114,6 +114,21 @@
 	return c.Served + c.Shed + c.Draining + c.SnapshotGone + c.Expired + c.Cancelled + c.Rejected + c.Closed
 }
 
+// Plus returns the sum.
+func (c Counters) Plus(other Counters) Counters {
+	return Counters{
+		Served:       c.Served + other.Served,
+		Shed:         c.Shed + other.Shed,
+		Draining:     c.Draining + other.Draining,
+		SnapshotGone: c.SnapshotGone + other.SnapshotGone,
+		Expired:      c.Expired + other.Expired,
+		Cancelled:    c.Cancelled + other.Cancelled,
+		Rejected:     c.Rejected + other.Rejected,
+		Closed:       c.Closed + other.Closed,
+		Crashes:      c.Crashes + other.Crashes,
+	}
+}
+
 // Minus returns what was counted since the earlier reading.
 func (c Counters) Minus(earlier Counters) Counters {
 	return Counters{
