--- a/load/direct/direct.go
+++ b/load/direct/direct.go
@@ -19,10 +19,12 @@
 // replicas with the fewest outstanding ones. It neither hedges nor retries.
 // Reservations are sent to one server without a ticket.
 type Target struct {
-	backend       ebonyworks.Backend
+	backends      []ebonyworks.Backend
 	configuration *ebonyworks.Configuration
 	delay         time.Duration
 	requests      atomic.Uint64
+	// started makes request ids unique across runs.
+	started time.Time
 
 	mu sync.Mutex
 	// outstanding has one entry per server of the configuration.
@@ -35,13 +37,16 @@
 
 var _ load.Target = (*Target)(nil)
 
-// New returns a target. Delay is the one-way delay between client and host,
-// which is added on both sides of each request as with entry hosts.
-func New(backend ebonyworks.Backend, configuration *ebonyworks.Configuration, delay time.Duration) *Target {
+// New returns a target. Requests take the backends in turn, each of which
+// stands for the place of one entry host. Delay is the one-way delay between
+// client and host, which is added on both sides of each request as with entry
+// hosts.
+func New(backends []ebonyworks.Backend, configuration *ebonyworks.Configuration, delay time.Duration) *Target {
 	return &Target{
-		backend:       backend,
+		backends:      backends,
 		configuration: configuration,
 		delay:         delay,
+		started:       time.Now(),
 		outstanding:   make(map[ebonyworks.ServerID]int),
 		snapshots:     make(map[ebonyworks.CatalogueID]ebonyworks.Snapshot),
 	}
@@ -50,22 +55,30 @@
 // Prepare asks every server for its snapshots, which also opens the
 // connections.
 func (t *Target) Prepare(ctx context.Context) error {
-	for i := range t.configuration.Catalogues {
-		catalogue := &t.configuration.Catalogues[i]
-		for k := range catalogue.Services {
-			service := &catalogue.Services[k]
-			for _, server := range service.Servers {
-				report, result := t.backend.Status(ctx, service, server)
-				if result != ebonyworks.AttemptServed {
-					return errors.Errorf("server %s didn't report its status", server.ID)
-				}
-				t.learn(catalogue.ID, report)
+	for _, backend := range t.backends {
+		for i := range t.configuration.Catalogues {
+			if err := t.prepare(ctx, backend, &t.configuration.Catalogues[i]); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+func (t *Target) prepare(ctx context.Context, backend ebonyworks.Backend, catalogue *ebonyworks.Catalogue) error {
+	for i := range catalogue.Services {
+		service := &catalogue.Services[i]
+		for _, server := range service.Servers {
+			report, result := backend.Status(ctx, service, server)
+			if result != ebonyworks.AttemptServed {
+				return errors.Errorf("server %s didn't report its status", server.ID)
+			}
+			t.learn(catalogue.ID, report)
+		}
+	}
+	return nil
+}
+
 // learn keeps the newest snapshot of the report.
 func (t *Target) learn(catalogue ebonyworks.CatalogueID, report ebonyworks.ServerReport) {
 	if len(report.Snapshots) == 0 {
@@ -92,45 +105,49 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	id := ebonyworks.RequestID(fmt.Sprintf("direct-%d", t.requests.Add(1)))
-	result := t.run(bounded, id, catalogue, request)
+	number := t.requests.Add(1)
+	call := call{
+		id:        ebonyworks.RequestID(fmt.Sprintf("direct-%d-%d", t.started.UnixNano(), number)),
+		backend:   t.backends[number%uint64(len(t.backends))],
+		catalogue: catalogue,
+		request:   request,
+	}
+	result := t.run(bounded, call)
 	result.Delay = 2 * t.delay
 	return result
 }
 
-func (t *Target) run(ctx context.Context, id ebonyworks.RequestID, catalogue *ebonyworks.Catalogue, request load.Request) load.Result {
+// call is one request in progress.
+type call struct {
+	id        ebonyworks.RequestID
+	backend   ebonyworks.Backend
+	catalogue *ebonyworks.Catalogue
+	partition ebonyworks.Partition
+	snapshot  ebonyworks.Snapshot
+	request   load.Request
+}
+
+func (t *Target) run(ctx context.Context, call call) load.Result {
 	t.mu.Lock()
-	snapshot := t.snapshots[catalogue.ID]
+	call.snapshot = t.snapshots[call.catalogue.ID]
 	t.mu.Unlock()
-	partition, ok := catalogue.Partition(snapshot.Epoch)
+	partition, ok := call.catalogue.Partition(call.snapshot.Epoch)
 	if !ok {
 		return load.Result{Ending: load.Refused, Code: string(ebonyworks.RefusedNoSnapshot)}
 	}
-	if request.Kind == ebonyworks.ReservationRoute {
-		return t.reserve(ctx, id, catalogue, partition, request)
+	call.partition = partition
+	if call.request.Kind == ebonyworks.ReservationRoute {
+		return t.reserve(ctx, call)
 	}
-	return t.search(ctx, id, catalogue, partition, snapshot, request)
+	return t.search(ctx, call)
 }
 
-func (t *Target) search(ctx context.Context, id ebonyworks.RequestID, catalogue *ebonyworks.Catalogue, partition ebonyworks.Partition, snapshot ebonyworks.Snapshot, request load.Request) load.Result {
-	shards := partition.Overlapping(request.Keys)
+func (t *Target) search(ctx context.Context, call call) load.Result {
+	shards := call.partition.Overlapping(call.request.Keys)
 	answers := make([]ebonyworks.SubAnswer, len(shards))
 	var pending sync.WaitGroup
 	for i, shard := range shards {
-		pending.Go(func() {
-			service, _ := catalogue.Service(shard.Service)
-			server := t.take(service)
-			defer t.release(server)
-			answers[i] = t.backend.Search(ctx, service, server, ebonyworks.SubSearch{
-				Request:   id,
-				Catalogue: catalogue.ID,
-				Snapshot:  snapshot,
-				Shard:     shard.ID,
-				Filters:   request.Filters,
-				Keys:      request.Keys,
-			})
-			t.learn(catalogue.ID, answers[i].Report)
-		})
+		pending.Go(func() { answers[i] = t.searchShard(ctx, call, shard) })
 	}
 	pending.Wait()
 	result := load.Result{Ending: load.Answered}
@@ -144,17 +161,33 @@
 	return result
 }
 
-func (t *Target) reserve(ctx context.Context, id ebonyworks.RequestID, catalogue *ebonyworks.Catalogue, partition ebonyworks.Partition, request load.Request) load.Result {
-	shard := partition.Overlapping(ebonyworks.SingleKey(request.Key))[0]
-	service, _ := catalogue.Service(shard.Service)
+func (t *Target) searchShard(ctx context.Context, call call, shard ebonyworks.Shard) ebonyworks.SubAnswer {
+	service, _ := call.catalogue.Service(shard.Service)
+	server := t.take(service)
+	defer t.release(server)
+	answer := call.backend.Search(ctx, service, server, ebonyworks.SubSearch{
+		Request:   call.id,
+		Catalogue: call.catalogue.ID,
+		Snapshot:  call.snapshot,
+		Shard:     shard.ID,
+		Filters:   call.request.Filters,
+		Keys:      call.request.Keys,
+	})
+	t.learn(call.catalogue.ID, answer.Report)
+	return answer
+}
+
+func (t *Target) reserve(ctx context.Context, call call) load.Result {
+	shard := call.partition.Overlapping(ebonyworks.SingleKey(call.request.Key))[0]
+	service, _ := call.catalogue.Service(shard.Service)
 	server := t.take(service)
 	defer t.release(server)
-	confirmation := t.backend.Reserve(ctx, service, server, ebonyworks.SubReservation{
-		Request:   id,
-		Catalogue: catalogue.ID,
+	confirmation := call.backend.Reserve(ctx, service, server, ebonyworks.SubReservation{
+		Request:   call.id,
+		Catalogue: call.catalogue.ID,
 		Shard:     shard.ID,
-		Key:       request.Key,
-		Fields:    request.Fields,
+		Key:       call.request.Key,
+		Fields:    call.request.Fields,
 	})
 	result := load.Result{Ending: load.Settled, Code: string(ebonyworks.CodeLost)}
 	switch {
--- a/load/entry/entry.go
+++ b/load/entry/entry.go
@@ -40,7 +40,7 @@
 		if !ok {
 			return load.Result{Code: load.FailedNoHost}
 		}
-		result = t.DoAt(ctx, host, request)
+		result = t.at(ctx, host, request)
 		if result.Ending != load.Failed || result.Code != load.FailedConnect {
 			return result
 		}
@@ -49,8 +49,15 @@
 	return result
 }
 
-// DoAt sends the request to the given host.
-func (t *Target) DoAt(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
+// Hosts returns the number of hosts, ready or not.
+func (t *Target) Hosts() int { return len(t.Balancer.Hosts()) }
+
+// DoAt sends the request to the host with the index.
+func (t *Target) DoAt(ctx context.Context, host int, request load.Request) load.Result {
+	return t.at(ctx, t.Balancer.Hosts()[host], request)
+}
+
+func (t *Target) at(ctx context.Context, host *balancer.Host, request load.Request) load.Result {
 	if request.Kind == ebonyworks.ReservationRoute {
 		result := t.reserve(ctx, host, request)
 		result.Delay = 2 * reservationExchanges * t.Delay
