--- a/cmd/ebony-load/list.go
+++ b/cmd/ebony-load/list.go
@@ -50,9 +50,9 @@
 			}
 			setup := found.Setup
 			_, err = fmt.Fprintf(command.OutOrStdout(),
-				"ServiceTime=%v\nSnapshotPeriod=%v\nColdFactor=%d\nColdTime=%v\nColdSeconds=%d\nRestartSeconds=%g\n",
+				"ServiceTime=%v\nSnapshotPeriod=%v\nColdFactor=%d\nColdTime=%v\nColdSeconds=%d\nRestartSeconds=%g\nKillHosts=%s\n",
 				settings.MeanServiceTime, setup.SnapshotPeriod, setup.ColdFactor, setup.ColdTime,
-				(setup.ColdTime+time.Second-1)/time.Second, setup.RestartHosts.Seconds())
+				(setup.ColdTime+time.Second-1)/time.Second, setup.RestartHosts.Seconds(), setup.KillHosts)
 			return err
 		},
 	}
--- a/load/scenario/check.go
+++ b/load/scenario/check.go
@@ -152,6 +152,9 @@
 	c.between(document.Join(place, "ColdFactor"), setup.ColdFactor, 0, maxPercent)
 	c.duration(document.Join(place, "ColdTime"), setup.ColdTime, 0)
 	c.duration(document.Join(place, "RestartHosts"), setup.RestartHosts, 0)
+	if domain := ebonyworks.DomainID(setup.KillHosts); len((Selector{Domain: domain}).Select(c.configuration)) == 0 {
+		c.add(document.Join(place, "KillHosts"), "no failure domain %q in the configuration", domain)
+	}
 }
 
 func (c *checker) within(place string, at document.Duration, total time.Duration) {
--- a/load/scenario/decode.go
+++ b/load/scenario/decode.go
@@ -52,6 +52,7 @@
 	ColdFactor     int               `json:",omitempty"`
 	ColdTime       document.Duration `json:",omitempty"`
 	RestartHosts   document.Duration `json:",omitempty"`
+	KillHosts      string            `json:",omitempty"`
 }
 
 type phaseWire struct {
@@ -164,6 +165,7 @@
 			ColdFactor:     w.Setup.ColdFactor,
 			ColdTime:       time.Duration(w.Setup.ColdTime),
 			RestartHosts:   time.Duration(w.Setup.RestartHosts),
+			KillHosts:      ebonyworks.DomainID(w.Setup.KillHosts),
 		},
 	}
 	for _, phase := range w.Phases {
--- a/load/scenario/scenario.go
+++ b/load/scenario/scenario.go
@@ -80,6 +80,9 @@
 	// RestartHosts is the time between the restarts of one entry host after the
 	// other; zero means that none is restarted.
 	RestartHosts time.Duration
+	// KillHosts is the failure domain whose entry hosts are killed when the
+	// first phase starts; empty means none.
+	KillHosts ebonyworks.DomainID
 }
 
 // Duration returns the counted time.
--- a/load/scenario/scenario_test.go
+++ b/load/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario_test
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/ebonyworks/ebonyworks/load/scenario"
 	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
+	"github.com/ebonyworks/ebonyworks/operator/retazos"
 )
 
 func configuration(t *testing.T) *ebonyworks.Configuration {
@@ -91,6 +93,29 @@
 	}
 }
 
+// Guards against shipped settings that don't fit the shipped deployments.
+func TestShippedSettings(t *testing.T) {
+	tests := []struct {
+		file string
+		plan *operator.Plan
+	}{
+		{"kitakaze.json", kitakaze.Plan(operator.Addresses{})},
+		{"retazos.json", retazos.Plan(operator.Addresses{})},
+	}
+	for _, test := range tests {
+		text, err := os.ReadFile("../../examples/scenarios/" + test.file)
+		require.NoError(t, err)
+		configuration, problems := test.plan.Configuration()
+		require.Empty(t, problems)
+		settings, problems := scenario.Decode(text, configuration)
+		require.Empty(t, problems)
+		assert.Len(t, settings.Scenarios, 14)
+		for _, each := range settings.Scenarios {
+			assert.LessOrEqual(t, each.WarmUp+each.Duration(), 26*time.Second, each.Name)
+		}
+	}
+}
+
 // Guards against rates that load the services other than stated.
 func TestCapacity(t *testing.T) {
 	const mean = 20 * time.Millisecond
--- a/load/standins/standins.go
+++ b/load/standins/standins.go
@@ -37,13 +37,19 @@
 	configuration *ebonyworks.Configuration
 	client        *http.Client
 	bases         []string
-	// processes maps servers to the base URL of their process. It is read-only
-	// after Connect.
-	processes map[ebonyworks.ServerID]string
+	// servers is read-only after Connect.
+	servers map[ebonyworks.ServerID]*server
+}
+
+// server is one stand-in server.
+type server struct {
+	id string
+	// process is the base URL of its process.
+	process string
 
-	mu sync.Mutex
-	// faults are the current faults of servers that have some.
-	faults map[ebonyworks.ServerID]faultsWire
+	// mu is held while the faults are sent, since each request replaces all.
+	mu     sync.Mutex
+	faults faultsWire
 }
 
 var _ load.Meter = (*Client)(nil)
@@ -55,21 +61,20 @@
 		configuration: configuration,
 		client:        client,
 		bases:         bases,
-		processes:     make(map[ebonyworks.ServerID]string),
-		faults:        make(map[ebonyworks.ServerID]faultsWire),
+		servers:       make(map[ebonyworks.ServerID]*server),
 	}
 	for _, base := range bases {
 		var list serversWire
 		if err := c.get(ctx, base, "/servers", &list); err != nil {
 			return nil, err
 		}
-		for _, server := range list.Servers {
-			c.processes[ebonyworks.ServerID(server.Server)] = base
+		for _, listed := range list.Servers {
+			c.servers[ebonyworks.ServerID(listed.Server)] = &server{id: listed.Server, process: base}
 		}
 	}
-	for _, server := range (scenario.Selector{}).Select(configuration) {
-		if _, ok := c.processes[server]; !ok {
-			return nil, errors.Errorf("no stand-in process runs server %s", server)
+	for _, id := range (scenario.Selector{}).Select(configuration) {
+		if _, ok := c.servers[id]; !ok {
+			return nil, errors.Errorf("no stand-in process runs server %s", id)
 		}
 	}
 	return c, nil
@@ -77,48 +82,48 @@
 
 // Start gives the fault to its servers.
 func (c *Client) Start(ctx context.Context, fault scenario.Fault) error {
-	return c.each(ctx, fault, func(ctx context.Context, server ebonyworks.ServerID) error {
+	return c.each(ctx, fault, func(ctx context.Context, target *server) error {
 		switch fault.Kind {
 		case scenario.Kill:
-			return c.post(ctx, server, "/kill", nil)
+			return c.post(ctx, target, "/kill", nil)
 		case scenario.Restart:
-			return c.post(ctx, server, "/kill", url.Values{"DownMilliseconds": {strconv.Itoa(restartMilliseconds)}})
+			return c.post(ctx, target, "/kill", url.Values{"DownMilliseconds": {strconv.Itoa(restartMilliseconds)}})
 		case scenario.Drain:
-			return c.post(ctx, server, "/drain", nil)
+			return c.post(ctx, target, "/drain", nil)
 		default:
-			return c.change(ctx, server, func(faults *faultsWire) { faults.set(fault) })
+			return c.change(ctx, target, func(faults *faultsWire) { faults.set(fault) })
 		}
 	})
 }
 
 // Stop ends the fault. Killed and drained servers are started again.
 func (c *Client) Stop(ctx context.Context, fault scenario.Fault) error {
-	return c.each(ctx, fault, func(ctx context.Context, server ebonyworks.ServerID) error {
+	return c.each(ctx, fault, func(ctx context.Context, target *server) error {
 		switch fault.Kind {
 		case scenario.Kill, scenario.Drain:
-			return c.post(ctx, server, "/start", nil)
+			return c.post(ctx, target, "/start", nil)
 		case scenario.Restart:
 			return nil
 		default:
-			return c.change(ctx, server, func(faults *faultsWire) { faults.clear(fault) })
+			return c.change(ctx, target, func(faults *faultsWire) { faults.clear(fault) })
 		}
 	})
 }
 
 // each applies the change to all servers of the fault and returns the first
 // error.
-func (c *Client) each(ctx context.Context, fault scenario.Fault, change func(context.Context, ebonyworks.ServerID) error) error {
+func (c *Client) each(ctx context.Context, fault scenario.Fault, change func(context.Context, *server) error) error {
 	var (
 		pending sync.WaitGroup
 		mu      sync.Mutex
 		first   error
 	)
 	permits := make(chan struct{}, parallel)
-	for _, server := range fault.Servers.Select(c.configuration) {
+	for _, id := range fault.Servers.Select(c.configuration) {
 		permits <- struct{}{}
 		pending.Go(func() {
 			defer func() { <-permits }()
-			err := change(ctx, server)
+			err := change(ctx, c.servers[id])
 			mu.Lock()
 			defer mu.Unlock()
 			if first == nil {
@@ -131,29 +136,27 @@
 }
 
 // change replaces the faults of a server by changed ones.
-func (c *Client) change(ctx context.Context, server ebonyworks.ServerID, change func(*faultsWire)) error {
-	c.mu.Lock()
-	faults := c.faults[server]
-	change(&faults)
-	c.faults[server] = faults
-	c.mu.Unlock()
-	body, err := json.Marshal(faults)
+func (c *Client) change(ctx context.Context, target *server, change func(*faultsWire)) error {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	change(&target.faults)
+	body, err := json.Marshal(target.faults)
 	if err != nil {
 		return errors.Wrap(err, "encode faults")
 	}
-	return c.send(ctx, http.MethodPut, c.processes[server], "/faults?"+selector(server).Encode(), body, nil)
+	return c.send(ctx, http.MethodPut, target.process, "/faults?"+target.selector().Encode(), body, nil)
 }
 
-func (c *Client) post(ctx context.Context, server ebonyworks.ServerID, path string, values url.Values) error {
-	query := selector(server)
+func (c *Client) post(ctx context.Context, target *server, path string, values url.Values) error {
+	query := target.selector()
 	for name, value := range values {
 		query[name] = value
 	}
-	return c.send(ctx, http.MethodPost, c.processes[server], path+"?"+query.Encode(), nil, nil)
+	return c.send(ctx, http.MethodPost, target.process, path+"?"+query.Encode(), nil, nil)
 }
 
-func selector(server ebonyworks.ServerID) url.Values {
-	return url.Values{"Server": {string(server)}}
+func (s *server) selector() url.Values {
+	return url.Values{"Server": {s.id}}
 }
 
 // Read sums up the counters of all servers.
@@ -230,5 +233,8 @@
 	if reply == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(text, reply), "decode reply of stand-in")
+	if err := json.Unmarshal(text, reply); err != nil {
+		return errors.Wrap(err, "decode reply of stand-in")
+	}
+	return nil
 }
