--- a/load/load.go
+++ b/load/load.go
@@ -104,14 +104,14 @@
 // Counters are the requests that the stand-in backend servers ended since they
 // were started, summed over all of them and by result.
 type Counters struct {
-	Served, Shed, Draining, SnapshotGone, Expired, Cancelled, Rejected, Closed uint64
+	Served, Shed, Draining, SnapshotGone, Expired, Abandoned, Rejected, Closed uint64
 	// Crashes counts requests that crashed their server.
 	Crashes uint64
 }
 
 // Received returns the number of requests, whatever became of them.
 func (c Counters) Received() uint64 {
-	return c.Served + c.Shed + c.Draining + c.SnapshotGone + c.Expired + c.Cancelled + c.Rejected + c.Closed
+	return c.Served + c.Shed + c.Draining + c.SnapshotGone + c.Expired + c.Abandoned + c.Rejected + c.Closed
 }
 
 // Plus returns the sum.
@@ -122,7 +122,7 @@
 		Draining:     c.Draining + other.Draining,
 		SnapshotGone: c.SnapshotGone + other.SnapshotGone,
 		Expired:      c.Expired + other.Expired,
-		Cancelled:    c.Cancelled + other.Cancelled,
+		Abandoned:    c.Abandoned + other.Abandoned,
 		Rejected:     c.Rejected + other.Rejected,
 		Closed:       c.Closed + other.Closed,
 		Crashes:      c.Crashes + other.Crashes,
@@ -137,7 +137,7 @@
 		Draining:     c.Draining - earlier.Draining,
 		SnapshotGone: c.SnapshotGone - earlier.SnapshotGone,
 		Expired:      c.Expired - earlier.Expired,
-		Cancelled:    c.Cancelled - earlier.Cancelled,
+		Abandoned:    c.Abandoned - earlier.Abandoned,
 		Rejected:     c.Rejected - earlier.Rejected,
 		Closed:       c.Closed - earlier.Closed,
 		Crashes:      c.Crashes - earlier.Crashes,
--- a/load/report/report_test.go
+++ b/load/report/report_test.go
@@ -35,7 +35,7 @@
 	recorder.Add(Sample{Latency: 5 * time.Millisecond, Result: load.Result{Ending: load.Settled, Code: "done", Outcome: ebonyworks.OutcomeRan}})
 	recorder.Add(Sample{Latency: 7 * time.Millisecond, Result: load.Result{Ending: load.Settled, Code: "timeout"}})
 	// 397 shards were covered and one reservation ran.
-	recorder.Boundary(load.Counters{Served: 400, Shed: 12, Cancelled: 36}, true)
+	recorder.Boundary(load.Counters{Served: 400, Shed: 12, Abandoned: 36}, true)
 	results := recorder.Results(Origin{Scenario: "s"}, 400, []PhaseSpan{{Name: "One", Percent: 50, Duration: 2 * time.Second}})
 	require.Len(t, results, 1)
 	result := results[0]
--- a/load/run/run_test.go
+++ b/load/run/run_test.go
@@ -71,7 +71,7 @@
 func (w *world) Read(context.Context) (load.Counters, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return load.Counters{Served: w.received / 2, Cancelled: w.received / 2}, nil
+	return load.Counters{Served: w.received / 2, Abandoned: w.received / 2}, nil
 }
 
 func (w *world) Executions(context.Context) (load.Executions, error) {
--- a/load/standins/standins_test.go
+++ b/load/standins/standins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -73,8 +74,8 @@
 	return w, configuration, client
 }
 
-func (w *world) states() []server.State {
-	var states []server.State
+func (w *world) states() []server.Phase {
+	var states []server.Phase
 	for _, each := range w.fleet.Select(server.Selector{}) {
 		states = append(states, each.State().State)
 	}
@@ -112,9 +113,9 @@
 		w, _, client := start(t)
 		fault := scenario.Fault{Kind: kind, Servers: scenario.Selector{Replica: 2}}
 		require.NoError(t, client.Start(t.Context(), fault))
-		assert.Equal(t, []server.State{server.Running, server.Stopped}, w.states(), kind)
+		assert.Equal(t, []server.Phase{server.Running, server.Stopped}, w.states(), kind)
 		require.NoError(t, client.Stop(t.Context(), fault))
-		assert.Equal(t, []server.State{server.Running, server.Running}, w.states(), kind)
+		assert.Equal(t, []server.Phase{server.Running, server.Running}, w.states(), kind)
 	}
 	w, _, client := start(t)
 	before := w.fleet.Select(server.Selector{})[0].State().Incarnation
@@ -153,6 +154,21 @@
 	assert.Equal(t, load.Executions{Distinct: 2, Repeated: 1}, executions)
 }
 
+// Guards against results of requests that the stand-ins count and the tool
+// leaves out.
+func TestCountersAreComplete(t *testing.T) {
+	counts := server.Counts{Served: 1, Shed: 1, Draining: 1, SnapshotGone: 1, Expired: 1, Abandoned: 1, Rejected: 1, Closed: 1, Crashes: 1}
+	text, err := json.Marshal(counts)
+	require.NoError(t, err)
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	var counters load.Counters
+	require.NoError(t, decoder.Decode(&counters))
+	assert.Equal(t, uint64(8), counters.Received())
+	assert.Equal(t, uint64(16), counters.Plus(counters).Received())
+	assert.Equal(t, load.Counters{}, counters.Minus(counters))
+}
+
 // Guards against runs without some of the servers.
 func TestConnectNeedsAllServers(t *testing.T) {
 	w, configuration, _ := start(t)
