--- a/load/entry/entry_test.go
+++ b/load/entry/entry_test.go
@@ -147,9 +147,9 @@
 	assert.Equal(t, load.Result{Ending: load.Refused, Code: "overloaded", Delay: 6 * time.Millisecond}, target.Do(t.Context(), search))
 	refusing.status, refusing.answer = http.StatusOK, "<html>"
 	assert.Equal(t, load.FailedReply, target.Do(t.Context(), search).Code)
-	cancelled, cancel := context.WithCancel(t.Context())
+	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.Equal(t, load.FailedTimeout, target.Do(cancelled, search).Code)
+	assert.Equal(t, load.FailedTimeout, target.Do(ended, search).Code)
 	reservation := load.Request{Route: "reserve", House: "h", Kind: ebonyworks.ReservationRoute, Key: "-k"}
 	assert.Equal(t, load.Result{
 		Ending: load.Settled, Outcome: ebonyworks.OutcomeRan, Code: "t-1-k", Delay: 12 * time.Millisecond,
