--- a/policy.go
+++ b/policy.go
@@ -119,6 +119,7 @@
 	Survived(fingerprint Fingerprint)
 }
 
+<<<<<<< HEAD
 // Observer receives measurements. Implementations don't block.
 type Observer interface {
 	// AttemptEnded is called once for each attempt at a server.
@@ -128,4 +129,17 @@
 	// ReservationEnded is called once for each reservation that this host
 	// answered.
 	ReservationEnded(route RouteID, outcome Outcome, elapsed time.Duration)
+=======
+// TrialInspection is an Inspection that runs the single attempts of one
+// fingerprint one after the other on its host. Its Choose waits for a bounded
+// time while another attempt runs.
+type TrialInspection interface {
+	Inspection
+	// StillAllowed reports whether the chosen attempt may be sent. It is false
+	// if a death became known since Choose; then Choose is called again.
+	StillAllowed(fingerprint Fingerprint, trial Trial) bool
+	// Ended ends the attempt that Choose allowed. It is called after Died and
+	// Survived too, and when nothing was sent.
+	Ended(fingerprint Fingerprint)
+>>>>>>> reservations
 }
