--- a/coordination/reservation/fingerprint.go
+++ b/coordination/reservation/fingerprint.go
@@ -40,11 +40,7 @@
 	}
 }
 
-<<<<<<< HEAD
 // write adds the length too, so that neighboring texts can't be confused.
-=======
-// write adds the length too, so that a border between two texts can't move.
->>>>>>> reservations
 func write(hash *xxhash.Digest, text string) {
 	var length [8]byte
 	binary.LittleEndian.PutUint64(length[:], uint64(len(text)))
