--- a/cmd/ebony-server/run_test.go
+++ b/cmd/ebony-server/run_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
-	"net/netip"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -22,7 +21,12 @@
 // Guards against a binary that can't serve what the operators' tool prints, or
 // doesn't stop in an orderly way.
 func TestCommand(t *testing.T) {
-	first := netip.MustParseAddrPort("127.78.1.1:20920")
+	// The address differs between processes, so that several runs of the tests
+	// don't disturb each other.
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(100 + pid%100), byte(pid / 100 % 250), 1})
+	first := netip.AddrPortFrom(host, 20920)
+	admin := netip.AddrPortFrom(host, 20921).String()
 	publication, problems := kitakaze.Plan(operator.Addresses{First: first, PerHost: true}).Publish(1, ebonyworks.Mark{})
 	require.Empty(t, problems)
 	directory := t.TempDir()
@@ -34,13 +38,13 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	command := newCommand(&event.Recorder{})
 	command.SetArgs([]string{
-		"--configuration", directory, "--catalogue", "fitting-desk", "--admin", "127.78.1.1:20921",
+		"--configuration", directory, "--catalogue", "fitting-desk", "--admin", admin,
 		"--origin", "Sapporo=127.10.0.0/16", "--drain-notice", "1ms", "--slow-factor", "2",
 	})
 	done := make(chan error, 1)
 	go func() { done <- command.ExecuteContext(ctx) }()
 	assert.Eventually(t, func() bool {
-		response, err := http.Get("http://127.78.1.1:20921/servers")
+		response, err := http.Get("http://" + admin + "/servers")
 		if err != nil {
 			return false
 		}
--- a/standin/server/admin.go
+++ b/standin/server/admin.go
@@ -208,6 +208,9 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
+	if recorder := a.fleet.options.Recorder; recorder != nil {
+		recorder.Record(event.New(event.StandInReloaded))
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/server/fleet_test.go
+++ b/standin/server/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -20,10 +21,17 @@
 	"github.com/ebonyworks/ebonyworks/transport/stockroom"
 )
 
+// addresses returns loopback addresses that no other process uses, so that
+// several runs of the tests don't disturb each other.
+func addresses(test byte) operator.Addresses {
+	pid := os.Getpid()
+	first := netip.AddrFrom4([4]byte{127, byte(100 + pid%100), byte(pid / 100 % 250), test})
+	return operator.Addresses{First: netip.AddrPortFrom(first, 20910), PerHost: true}
+}
+
 // deployment returns a configuration at addresses of this test alone.
 func deployment(t *testing.T) *ebonyworks.Configuration {
-	first := netip.MustParseAddrPort("127.77.1.1:20910")
-	configuration, problems := retazos.Plan(operator.Addresses{First: first, PerHost: true}).Configuration()
+	configuration, problems := retazos.Plan(addresses(1)).Configuration()
 	require.Empty(t, problems)
 	return configuration
 }
@@ -88,8 +96,7 @@
 // Guards against a repartition that changes snapshots which already exist, and
 // against servers that keep running after they left the configuration.
 func TestFleetFollowsConfiguration(t *testing.T) {
-	first := netip.MustParseAddrPort("127.77.2.1:20910")
-	plan := retazos.Plan(operator.Addresses{First: first, PerHost: true})
+	plan := retazos.Plan(addresses(128))
 	configuration, problems := plan.Configuration()
 	require.Empty(t, problems)
 	const period = time.Hour
