Keep stragglers out of the choice until probes show recovery

Three causes:

- The decaying average brought the straggler back every few seconds on each host.
A server of 3 times the typical latency of the best replica is now slow: its latency doesn't decay, and single probes at 0.5 to 10 s try it.
- Ordinary hedges at the p95 used up the budget.
The percentile now rises to 99 as the balance falls, and Worthwhile rules out hedges at a straggler.
- A server with a free permit was always preferred, also if it was the straggler.

--- a/coordination/hedging/hedging.go
+++ b/coordination/hedging/hedging.go
@@ -30,9 +30,16 @@
 	// the ratio of p95 to p50 is 4.3 for exponential service times.
 	medianFactor = 4.5
 
-	percentile = 95
-	median     = 50
-	window     = 5 * time.Second
+	// The percentile rises from low to high as the balance of hedges falls.
+	// With a fixed p95, ordinary slow attempts use up the whole budget of 5%,
+	// and none is left for the attempts at a straggler.
+	lowPercentile  = 95
+	highPercentile = 99
+	median         = 50
+	// worthwhileFactor is how slow, compared to the delay, the server of a
+	// hedge may be.
+	worthwhileFactor = 3
+	window           = 5 * time.Second
 	// refreshInterval bounds how often the percentile is computed anew.
 	refreshInterval = 100 * time.Millisecond
 	// unit and maxUnits set the histograms' range, 0.1 ms to 10 s, and digits
@@ -92,8 +99,16 @@
 	retriesClosed time.Time
 }
 
+// Worthwhile reports whether a hedge at the candidate can help, given the
+// delay after which it would be sent. A hedge at a straggler or at a failing
+// server only adds load.
+func Worthwhile(delay time.Duration, candidate ebonyworks.Candidate) bool {
+	return !candidate.Failing && candidate.Latency <= worthwhileFactor*delay
+}
+
 // Delay returns how long to wait for the first attempt before a hedge: the
-// recent 95th percentile, within bounds.
+// recent 95th percentile, or up to the 99th if the budget runs low, within
+// bounds.
 func (b *Budget) Delay(id ebonyworks.ServiceID) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -230,6 +245,8 @@
 	b.merged.Reset()
 	b.merged.Merge(known.current)
 	b.merged.Merge(known.previous)
+	missing := 1 - float64(b.hedges)/maxHedges
+	percentile := lowPercentile + (highPercentile-lowPercentile)*missing
 	high := time.Duration(b.merged.ValueAtQuantile(percentile)) * unit
 	usual := time.Duration(b.merged.ValueAtQuantile(median)) * unit
 	bound := time.Duration(medianFactor * float64(usual))
--- a/coordination/hedging/hedging_test.go
+++ b/coordination/hedging/hedging_test.go
@@ -43,6 +43,12 @@
 			observe(b, 940, served, 10*ms, false)
 			observe(b, 60, served, 20*ms, false)
 		}, 20 * ms},
+		{"99th percentile without balance", func(b *hedging.Budget) {
+			observe(b, 970, served, 10*ms, false)
+			observe(b, 30, served, 20*ms, false)
+			for b.AllowHedge(service) {
+			}
+		}, 20 * ms},
 		{"floor", func(b *hedging.Budget) { observe(b, 100, served, 100*time.Microsecond, false) }, 3 * ms},
 		{"ceiling", func(b *hedging.Budget) { observe(b, 100, served, time.Minute, false) }, 200 * ms},
 		{"a tenth goes to a straggler", func(b *hedging.Budget) {
@@ -83,6 +89,14 @@
 	}
 }
 
+// Guards against hedges that only add load to a straggler or a failing server.
+func TestWorthwhile(t *testing.T) {
+	assert.True(t, hedging.Worthwhile(20*ms, ebonyworks.Candidate{}))
+	assert.True(t, hedging.Worthwhile(20*ms, ebonyworks.Candidate{Latency: 40 * ms}))
+	assert.False(t, hedging.Worthwhile(20*ms, ebonyworks.Candidate{Latency: 100 * ms}))
+	assert.False(t, hedging.Worthwhile(20*ms, ebonyworks.Candidate{Failing: true}))
+}
+
 // Guards against second attempts that multiply the load: of any sequence of
 // requests, at most 5% are hedged and 10% hedged or retried, beyond a bounded
 // allowance, and the saved-up balance is bounded.
--- a/coordination/selection/selection.go
+++ b/coordination/selection/selection.go
@@ -16,8 +16,11 @@
 	// tieFactor is how far costs may differ and still count as a tie. It is
 	// the most that a misleading report can gain a server.
 	tieFactor = 1.1
-	// failingTier is above the tiers of servers with and without a free permit.
-	failingTier = 2
+	// queueFactor multiplies the cost of servers where the attempt would wait
+	// for a permit, since the attempts that wait there already aren't known.
+	queueFactor = 1.5
+	// failingTier is above the tier of servers that work.
+	failingTier = 1
 )
 
 // Selector prefers the cheaper of two random servers, by the host's own
@@ -149,6 +152,9 @@
 	if !candidate.Near {
 		result *= farFactor
 	}
+	if candidate.Limit > 0 && candidate.InFlight >= candidate.Limit {
+		result *= queueFactor
+	}
 	return result
 }
 
@@ -170,17 +176,11 @@
 	return sum / float64(known)
 }
 
-// tierOf returns 0 for a server with a free permit, 1 for one where the
-// attempt would queue, and failingTier for a failing one.
 func tierOf(candidate *ebonyworks.Candidate) int {
-	switch {
-	case candidate.Failing:
+	if candidate.Failing {
 		return failingTier
-	case candidate.Limit > 0 && candidate.InFlight >= candidate.Limit:
-		return 1
-	default:
-		return 0
 	}
+	return 0
 }
 
 // admitted names the candidates that take part in one call: those of the
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -31,6 +31,22 @@
 	// statusInterval is the shortest time between status requests of one host
 	// to one server.
 	statusInterval = time.Second
+	// A server becomes slow if its typical latency is above slowFactor times
+	// that of the best replica and more than slowSlack above it. The state ends
+	// below normalFactor, so that a few lucky samples don't end it.
+	slowFactor   = 3
+	normalFactor = 1.5
+	slowSlack    = 5 * time.Millisecond
+	// typicalWeight is the weight of one sample in the typical latency. Three
+	// samples show a straggler of ten times the latency; one of the longest
+	// exponential service times doesn't.
+	typicalWeight = 0.15
+	// slowWeight replaces it while the server is slow, so that some ten good
+	// probes end the state.
+	slowWeight = 0.3
+	// survivorFactor estimates the latency of an attempt that was ended early:
+	// if nothing else is known, it had lasted for half of its time.
+	survivorFactor = 2
 	// reportAge is the age from which a load report isn't used to break ties.
 	reportAge = 2 * time.Second
 	// failuresUntilFailing keeps one lost reply from moving all load to the
@@ -38,6 +54,10 @@
 	failuresUntilFailing = 3
 	firstProbeInterval   = 100 * time.Millisecond
 	maxProbeInterval     = 5 * time.Second
+	// A probe of a slow server makes a caller wait for its hedge, so the
+	// interval grows further than that of a failing one.
+	firstSlowInterval = 500 * time.Millisecond
+	maxSlowInterval   = 10 * time.Second
 	// returnedAge is how long the end of a departure is passed on to peers.
 	// Peers that missed it learn it from the server's next report.
 	returnedAge = time.Minute
@@ -74,7 +94,13 @@
 	// latency is the average as of latencyAt, zero if there is no sample.
 	latency   time.Duration
 	latencyAt time.Time
-	failures  int
+	// typical is the average over the last samples, zero if there is none.
+	typical time.Duration
+	// best is the typical latency of the best replica when last compared.
+	best time.Duration
+	// slow is set while the typical latency is far above that of a replica.
+	slow     bool
+	failures int
 	// interval is the next time between probes, before jitter.
 	interval  time.Duration
 	nextProbe time.Time
@@ -144,8 +170,13 @@
 // that aren't leaving, in the order of the configuration. The quota supplies
 // the attempts in flight; nil means none.
 //
-// When the probe of a failing server is due, one call for a search route gets
-// it as not failing and with the lowest latency, so that it is chosen. Reservations never serve as probes,
+// A server that is far slower than another replica keeps its latency until
+// probes show that it has recovered, while that of other servers decays. It
+// counts as far.
+//
+// When the probe of a failing or slow server is due, one call for a search
+// route gets it as not failing and with the lowest latency, so that it is
+// chosen. Reservations never serve as probes,
 // since a failed one can't be repeated.
 func (r *Register) Candidates(
 	service *ebonyworks.Service,
@@ -329,6 +360,8 @@
 	known.leaving = false
 	known.rampSince = now
 	known.latency = 0
+	known.typical = 0
+	known.slow = false
 	known.failures = 0
 	known.resetProbes()
 	r.record(event.ServerReturned, fact.Server)
@@ -365,7 +398,9 @@
 	known.lastSuccess = now
 	known.refreshed = now
 	known.failures = 0
-	known.resetProbes()
+	if !known.slow {
+		known.resetProbes()
+	}
 }
 
 func (r *Register) fail(known *record, server ebonyworks.ServerID, count int, now time.Time) {
@@ -406,6 +441,7 @@
 	defer r.mutex.Unlock()
 	now := time.Now()
 	mayProbe := route.Kind == ebonyworks.SearchRoute
+	best := r.bestTypical(service, route)
 	for _, server := range service.Servers {
 		if !route.Allows(server.Domain) {
 			continue
@@ -416,6 +452,7 @@
 			continue
 		}
 		if known != nil {
+			r.compare(known, best, now)
 			r.describe(known, &candidate, mayProbe, now)
 		}
 		candidates = append(candidates, candidate)
@@ -423,15 +460,54 @@
 	return candidates
 }
 
+// bestTypical returns the lowest typical latency of the usable servers, or
+// zero if there are no samples.
+func (r *Register) bestTypical(service *ebonyworks.Service, route ebonyworks.Route) time.Duration {
+	var best time.Duration
+	for _, server := range service.Servers {
+		known := r.servers[server.ID]
+		if known == nil || known.leaving || known.failing() || known.typical == 0 || !route.Allows(server.Domain) {
+			continue
+		}
+		if best == 0 || known.typical < best {
+			best = known.typical
+		}
+	}
+	return best
+}
+
+// compare sets or clears the slow state of a server.
+func (r *Register) compare(known *record, best time.Duration, now time.Time) {
+	known.best = best
+	if best == 0 {
+		return
+	}
+	factor := float64(known.typical) / float64(best)
+	switch {
+	case known.slow && factor < normalFactor:
+		known.slow = false
+	case !known.slow && factor > slowFactor && known.typical > best+slowSlack:
+		known.slow = true
+		known.interval = firstSlowInterval
+		known.nextProbe = now.Add(r.jitter(known.interval))
+	}
+}
+
 func (r *Register) describe(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
 	candidate.Latency = known.decayed(now)
+	if known.slow {
+		// The advantage of being near is a small part of a straggler's latency
+		// and must not attract load to it.
+		candidate.Near = false
+		candidate.Latency = max(known.latency, known.typical)
+	}
 	candidate.Share = known.share(now)
 	if now.Sub(known.lastReport) < reportAge {
 		candidate.SlotsBusy = known.slotsBusy
 		candidate.Queued = known.queued
 	}
 	candidate.Failing = known.failing()
-	if candidate.Failing && mayProbe && r.takeProbe(known, now) {
+	if (candidate.Failing || known.slow) && mayProbe && r.takeProbe(known, now) {
 		candidate.Failing = false
 		candidate.Latency = time.Nanosecond
 	}
@@ -444,6 +520,11 @@
 	}
 	known.nextProbe = now.Add(r.jitter(known.interval))
 	known.probing = true
+	if known.slow && !known.failing() {
+		// A hedge may end the probe before its latency is known. A good one
+		// shortens the interval again.
+		known.interval = min(2*known.interval, maxSlowInterval)
+	}
 	return true
 }
 
@@ -501,6 +582,7 @@
 // the part that the time since the last sample stands for.
 func (k *record) sample(now time.Time, latency time.Duration) {
 	latency = max(latency, time.Nanosecond)
+	k.sampleTypical(latency)
 	average := k.decayed(now)
 	if latency >= average {
 		k.latency = latency
@@ -512,9 +594,34 @@
 	k.latencyAt = now
 }
 
+// sampleTypical moves the typical latency by the weight of one sample.
+func (k *record) sampleTypical(latency time.Duration) {
+	if k.typical == 0 {
+		k.typical = latency
+		return
+	}
+	weight := typicalWeight
+	if k.slow {
+		weight = slowWeight
+		k.shorten(latency)
+	}
+	k.typical += time.Duration(weight * float64(latency-k.typical))
+}
+
+// shorten sets the interval between probes of a slow server after a good one.
+func (k *record) shorten(latency time.Duration) {
+	if float64(latency) < normalFactor*float64(k.best) {
+		k.interval = max(k.interval/4, firstSlowInterval)
+	}
+}
+
 // raise applies a sample of which only a lower bound is known.
 func (k *record) raise(now time.Time, latency time.Duration) {
+	if latency > k.typical {
+		k.sampleTypical(survivorFactor * latency)
+	}
 	if latency > k.decayed(now) {
-		k.sample(now, latency)
+		k.latency = latency
+		k.latencyAt = now
 	}
 }
--- a/state/register/register_test.go
+++ b/state/register/register_test.go
@@ -176,6 +176,60 @@
 	})
 }
 
+// Guards against a straggler that gets more than single probes while a fast
+// replica is left, that is never tried again, or that isn't recognized because
+// hedges cancel all of its attempts.
+func TestSlowServer(t *testing.T) {
+	const fast, slow = 10 * time.Millisecond, 100 * time.Millisecond
+	tests := []struct {
+		name   string
+		sample ebonyworks.AttemptRecord
+	}{
+		{"served", attempt(ebonyworks.AttemptServed, slow, 0, false)},
+		{"all attempts hedged", attempt(ebonyworks.AttemptCancelled, 3*fast, 0, false)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegister()
+				first := func(route ebonyworks.Route) ebonyworks.Candidate {
+					return r.Candidates(service, route, "Sapporo", nil)[0]
+				}
+				other := attempt(ebonyworks.AttemptServed, fast, 0, false)
+				other.Server = "b"
+				r.Observe(other)
+				r.Observe(attempt(ebonyworks.AttemptServed, fast, 0, false))
+				assert.True(t, first(searches).Near)
+				for range 10 {
+					r.Observe(test.sample)
+				}
+				probes := 0
+				for range 60 * 20 {
+					time.Sleep(50 * time.Millisecond)
+					r.Observe(other)
+					assert.GreaterOrEqual(t, first(reservations).Latency, 3*fast)
+					assert.False(t, first(reservations).Near)
+					if first(searches).Latency == time.Nanosecond {
+						probes++
+						r.Observe(test.sample)
+					}
+				}
+				assert.GreaterOrEqual(t, probes, 5, "one in 10 s, and more in the beginning")
+				assert.LessOrEqual(t, probes, 15)
+				start := time.Now()
+				for !first(reservations).Near {
+					time.Sleep(50 * time.Millisecond)
+					r.Observe(other)
+					if first(searches).Latency == time.Nanosecond {
+						r.Observe(attempt(ebonyworks.AttemptServed, fast, 0, false))
+					}
+				}
+				assert.Less(t, time.Since(start), 30*time.Second)
+			})
+		})
+	}
+}
+
 // Guards against decisions on facts from before a pause, and against status
 // requests more often than once a second.
 func TestStaleAndDue(t *testing.T) {
