--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -58,13 +58,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	timer := time.NewTimer(entering.patience)
-	defer timer.Stop()
-	select {
-	case <-entering.decided:
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	entering.wait()
 	return g.settle(entering)
 }
 
--- a/coordination/admission/lane.go
+++ b/coordination/admission/lane.go
@@ -292,6 +292,23 @@
 	}
 }
 
+// wait returns when the waiter is decided on, or when its context or patience
+// has ended.
+func (w *waiter) wait() {
+	select {
+	case <-w.decided:
+		return
+	default:
+	}
+	timer := time.NewTimer(w.patience)
+	defer timer.Stop()
+	select {
+	case <-w.decided:
+	case <-w.ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (w *waiter) decide(state waiterState, now time.Time) {
 	w.state = state
 	w.started = now
