--- a/state/register/register.go
+++ b/state/register/register.go
@@ -373,8 +373,9 @@
 		r.succeed(known, attempt.Server, now)
 		known.sample(now, attempt.Latency)
 	case ebonyworks.AttemptShed:
-		// The quick refusal must not make the server look fast.
-		known.raise(now, min(2*known.decayed(now), maxLatency))
+		// The quick refusal must not make the server look fast. It doesn't make
+		// it slow either: under overload that would leave its slots unused.
+		known.peak(now, min(2*known.decayed(now), maxLatency))
 	case ebonyworks.AttemptCancelled:
 		// The loser of a hedged pair took at least this long.
 		known.raise(now, attempt.Latency)
@@ -441,16 +442,20 @@
 	defer r.mutex.Unlock()
 	now := time.Now()
 	mayProbe := route.Kind == ebonyworks.SearchRoute
-	best := r.bestTypical(service, route)
+	// The buffer is large enough for the replicas of usual services, so that
+	// each server is looked up once and without an allocation.
+	var buffer [16]*record
+	records := buffer[:0]
 	for _, server := range service.Servers {
-		if !route.Allows(server.Domain) {
+		records = append(records, r.servers[server.ID])
+	}
+	best := bestTypical(service, route, records)
+	for i, server := range service.Servers {
+		known := records[i]
+		if !route.Allows(server.Domain) || (known != nil && known.leaving) {
 			continue
 		}
 		candidate := ebonyworks.Candidate{Server: server, Near: server.Domain == near, Share: 1}
-		known := r.servers[server.ID]
-		if known != nil && known.leaving {
-			continue
-		}
 		if known != nil {
 			r.compare(known, best, now)
 			r.describe(known, &candidate, mayProbe, now)
@@ -461,12 +466,11 @@
 }
 
 // bestTypical returns the lowest typical latency of the usable servers, or
-// zero if there are no samples.
-func (r *Register) bestTypical(service *ebonyworks.Service, route ebonyworks.Route) time.Duration {
+// zero if there are no samples. The records are in the order of the servers.
+func bestTypical(service *ebonyworks.Service, route ebonyworks.Route, records []*record) time.Duration {
 	var best time.Duration
-	for _, server := range service.Servers {
-		known := r.servers[server.ID]
-		if known == nil || known.leaving || known.failing() || known.typical == 0 || !route.Allows(server.Domain) {
+	for i, known := range records {
+		if known == nil || known.leaving || known.failing() || known.typical == 0 || !route.Allows(service.Servers[i].Domain) {
 			continue
 		}
 		if best == 0 || known.typical < best {
@@ -620,6 +624,11 @@
 	if latency > k.typical {
 		k.sampleTypical(survivorFactor * latency)
 	}
+	k.peak(now, latency)
+}
+
+// peak raises the peak-sensitive average to the latency.
+func (k *record) peak(now time.Time, latency time.Duration) {
 	if latency > k.decayed(now) {
 		k.latency = latency
 		k.latencyAt = now
--- a/state/register/register_test.go
+++ b/state/register/register_test.go
@@ -230,6 +230,23 @@
 	}
 }
 
+// Guards against capacity that is left unused in an overload, because a server
+// that sheds is taken for a straggler.
+func TestShedDoesNotMakeSlow(t *testing.T) {
+	r := newRegister()
+	other := attempt(ebonyworks.AttemptServed, 10*time.Millisecond, 0, false)
+	other.Server = "b"
+	r.Observe(other)
+	r.Observe(attempt(ebonyworks.AttemptServed, 10*time.Millisecond, 0, false))
+	for range 10 {
+		r.Observe(attempt(ebonyworks.AttemptShed, time.Millisecond, 0, false))
+	}
+	candidate := r.Candidates(service, searches, "Sapporo", nil)[0]
+	assert.True(t, candidate.Near)
+	assert.Greater(t, candidate.Latency, 900*time.Millisecond)
+	assert.LessOrEqual(t, candidate.Latency, time.Second)
+}
+
 // Guards against decisions on facts from before a pause, and against status
 // requests more often than once a second.
 func TestStaleAndDue(t *testing.T) {
