--- a/coordination/reservation/property_test.go
+++ b/coordination/reservation/property_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,7 +26,7 @@
 
 // Guards the promises to callers: at most one execution per ticket, NotRun
 // means none for ever, Ran means exactly one, and no two final outcomes. Set
-// SCHEDULES for a longer run and SEED to repeat one schedule.
+// SCHEDULES for a longer run, and SEED with SCHEDULES=1 to repeat one.
 func TestAtMostOnce(t *testing.T) {
 	all := faults{name: "all", refusals: true, losses: true, slow: true, invalid: true, crashes: true, pauses: true, splits: true, stops: true, net: true}
 	single := []faults{
@@ -34,12 +35,6 @@
 		{name: "pauses", pauses: true}, {name: "partitions", splits: true}, {name: "planned stops", stops: true},
 		{name: "lost and repeated messages", net: true},
 	}
-	if text := os.Getenv("SEED"); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		synctest.Test(t, func(t *testing.T) { runSchedules(t, all, seed, 1) })
-		return
-	}
 	schedules := defaultSchedules
 	if text := os.Getenv("SCHEDULES"); text != "" {
 		var err error
@@ -47,8 +42,13 @@
 		require.NoError(t, err)
 	}
 	first := rand.Uint64() >> 16
+	if text := os.Getenv("SEED"); text != "" {
+		var err error
+		first, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+	}
 	for _, injected := range append(single, all) {
-		count := schedules / 10
+		count := max(schedules/10, 1)
 		if injected.name == "all" {
 			count = schedules
 		}
@@ -82,7 +82,7 @@
 		w := newWorld(seed, injected)
 		w.run()
 		w.check()
-		require.Empty(t, w.failures, "repeat with SEED=%d", seed)
+		require.Empty(t, w.failures, "repeat with SEED=%d SCHEDULES=1 and -run %s", seed, strings.SplitN(t.Name(), "/batch", 2)[0])
 		answers += w.answers
 		unknown += w.unknown
 	}
@@ -111,6 +111,9 @@
 func (w *world) disturb(slot int, random *rand.Rand) {
 	for range 3 {
 		time.Sleep(upTo(random, 40*time.Second))
+		if chance(random, 10) {
+			time.Sleep(upTo(random, 15*time.Minute))
+		}
 		target := w.node(slot)
 		switch kind := random.IntN(4); {
 		case kind == 0 && w.faults.crashes:
@@ -149,6 +152,9 @@
 	var copies sync.WaitGroup
 	for number := range 1 + random.IntN(4) {
 		after := upTo(random, 35*time.Second)
+		if chance(random, 20) {
+			after = time.Until(claims.Expiry) - upTo(random, time.Second)
+		}
 		own := rand.New(rand.NewPCG(random.Uint64(), uint64(number)))
 		copies.Go(func() {
 			time.Sleep(after)
--- a/coordination/reservation/world_test.go
+++ b/coordination/reservation/world_test.go
@@ -96,16 +96,20 @@
 	name := ebonyworks.HostID(fmt.Sprintf("entry-%d", slot))
 	n := &node{world: w, slot: slot, host: ebonyworks.Host{ID: name, Incarnation: incarnation, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(slot))}}
 	n.office, _ = ticket.NewOffice(name, incarnation, []ticket.Key{signingKey}, rand.New(rand.NewPCG(w.seed, uint64(incarnation))))
+	n.runner = reservation.New(n.settings())
+	return n
+}
+
+func (n *node) settings() reservation.Settings {
 	settings := reservation.Settings{
-		Host: name, Incarnation: incarnation, Tickets: n.office, Ledger: &ledger.Ledger{}, Hosts: n, Peer: wire{from: n}, Servers: n,
+		Host: n.host.ID, Incarnation: n.host.Incarnation, Tickets: n.office, Ledger: &ledger.Ledger{}, Hosts: n, Peer: wire{from: n}, Servers: n,
 		Configuration: func() *ebonyworks.Configuration { n.gate(); return published },
 		Backend:       backend{node: n}, Selection: n, Quota: n, Admission: n, Hedging: n, Inspection: &inspection.Inspector{},
 	}
-	if (w.seed+uint64(slot))%2 == 0 {
+	if (n.world.seed+uint64(n.slot))%2 == 0 {
 		settings.Inspection = n
 	}
-	n.runner = reservation.New(settings)
-	return n
+	return settings
 }
 
 // gate blocks while the process is paused; every call of the code under test
