--- /dev/null
+++ b/coordination/inspection/example_test.go
@@ -0,0 +1,38 @@
+package inspection_test
+
+import (
+	"fmt"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+)
+
+func Example() {
+	var inspector inspection.Inspector
+	const fingerprint ebonyworks.Fingerprint = 17
+	replicas := []ebonyworks.Server{{ID: "stock-finder-a"}, {ID: "stock-finder-b"}}
+	shards := []ebonyworks.ShardReplicas{{Shard: "short", All: replicas, Usable: replicas}}
+
+	verdict, _ := inspector.Inspect(fingerprint)
+	fmt.Println("unknown:", verdict == ebonyworks.RunOne)
+	trial, _ := inspector.Choose(fingerprint, shards)
+	inspector.Died(fingerprint, trial.Server.ID, 1)
+
+	// The server that died isn't back, and the other one must stay untouched.
+	shards[0].Usable = nil
+	for _, server := range replicas {
+		if server.ID != trial.Server.ID {
+			shards[0].Usable = append(shards[0].Usable, server)
+		}
+	}
+	_, refusal := inspector.Choose(fingerprint, shards)
+	fmt.Println(refusal.Code, refusal.Ran, refusal.RetryAfter)
+
+	inspector.Survived(fingerprint)
+	verdict, _ = inspector.Inspect(fingerprint)
+	fmt.Println("cleared:", verdict == ebonyworks.RunAll)
+	// Output:
+	// unknown: true
+	// crash_suspect true 5s
+	// cleared: true
+}
--- a/coordination/inspection/suspects.go
+++ b/coordination/inspection/suspects.go
@@ -81,7 +81,9 @@
 		delete(s.deaths, fingerprint)
 		return nil
 	}
-	s.deaths[fingerprint] = kept
+	if len(kept) < len(known) {
+		s.deaths[fingerprint] = kept
+	}
 	return kept
 }
 
