Ask heirs with the reservation itself, and the owner only once

A copy with another body got the recorded outcome of the first body from an heir, because heirs were asked with a query, which has no body. The owner is no longer among the asked peers: after a lost reply it got the request a second time. The test also reports first and last answers by code.

--- a/coordination/reservation/forward.go
+++ b/coordination/reservation/forward.go
@@ -27,7 +27,9 @@
 	if ctx.Err() != nil {
 		return unknown(ebonyworks.CodeTimeout, "the deadline passed while another host may have run it")
 	}
-	return r.askHeirs(ctx, claims, reservation.Ticket)
+	return r.askHeirs(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
+		return r.Peer.Reserve(ctx, peer, reservation)
+	})
 }
 
 func (r *Runner) forwardOutcome(ctx context.Context, claims ebonyworks.TicketClaims, token string) ebonyworks.Outcome {
@@ -37,7 +39,9 @@
 			return outcome
 		}
 	}
-	return r.askHeirs(ctx, claims, token)
+	return r.askHeirs(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
+		return r.Peer.Outcome(ctx, peer, token)
+	})
 }
 
 // owner returns the incarnation that the ticket names at its known address,
@@ -54,31 +58,41 @@
 	return owner, true
 }
 
+// question sends a reservation or query to a peer that may hold the closed
+// ledger. A reservation is sent as such, because the heir then also sees that
+// the ticket was used with another body. No heir can run it.
+type question func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery)
+
 // askHeirs looks for the closed ledger of the ticket's incarnation, first
-// here and then at the peers that come first in rendezvous order.
-func (r *Runner) askHeirs(ctx context.Context, claims ebonyworks.TicketClaims, token string) ebonyworks.Outcome {
+// here and then at the peers that come first in rendezvous order. The owner
+// isn't asked again: it would get a reservation twice.
+func (r *Runner) askHeirs(ctx context.Context, claims ebonyworks.TicketClaims, ask question) ebonyworks.Outcome {
 	if outcome, ok := r.Ledger.HeldOutcome(r.Tickets.Now(), claims); ok {
 		return outcome
 	}
-	peers := rendezvous(claims.Host, claims.Incarnation, r.Hosts.Peers())
+	peers := slices.DeleteFunc(rendezvous(claims.Host, claims.Incarnation, r.Hosts.Peers()), func(peer ebonyworks.Host) bool {
+		return peer.ID == claims.Host && peer.Incarnation <= claims.Incarnation
+	})
 	for _, peer := range peers[:min(asked, len(peers))] {
-		outcome, ok := r.ask(ctx, peer, token)
-		if ok {
+		if outcome, ok := ask.put(ctx, peer); ok {
 			return outcome
 		}
 	}
 	return ownerUnreachable()
 }
 
-func (r *Runner) ask(ctx context.Context, peer ebonyworks.Host, token string) (ebonyworks.Outcome, bool) {
+// put returns the answer if the peer knows one.
+func (q question) put(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	if ctx.Err() != nil {
 		return ebonyworks.Outcome{}, false
 	}
-	outcome, delivery := r.Peer.Outcome(ctx, peer, token)
-	known := delivery == ebonyworks.Delivered && outcome.Refusal == nil && !unreachable(outcome)
-	return outcome, known
+	outcome, delivery := q(ctx, peer)
+	if delivery != ebonyworks.Delivered || unreachable(outcome) {
+		return outcome, false
+	}
+	return outcome, outcome.Refusal == nil || outcome.Refusal.Code == ebonyworks.RefusedConflict
 }
 
 func (r *Runner) heldOrUnreachable(claims ebonyworks.TicketClaims) ebonyworks.Outcome {
--- a/coordination/reservation/property_test.go
+++ b/coordination/reservation/property_test.go
@@ -56,37 +56,38 @@
 	}
 }
 
-// runBatches also reports the share of callers whose last answer was Unknown.
-func runBatches(t *testing.T, injected faults, first uint64, count int) {
+// runBatches also reports the shares of callers whose first answer to a
+// reservation and whose last answer to a query was Unknown.
+func runBatches(t *testing.T, injected faults, seed uint64, count int) {
 	var mu sync.Mutex
-	var answers, unknown int
+	var first, last tally
 	t.Run("batch", func(t *testing.T) {
 		for done := 0; done < count; done += batchSchedules {
 			t.Run("", func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					a, u := runSchedules(t, injected, first+uint64(done), min(batchSchedules, count-done))
+					f, l := runSchedules(t, injected, seed+uint64(done), min(batchSchedules, count-done))
 					mu.Lock()
 					defer mu.Unlock()
-					answers += a
-					unknown += u
+					first.add(f)
+					last.add(l)
 				})
 			})
 		}
 	})
-	t.Logf("%d schedules from seed %d: %d of %d callers ended with Unknown (%.2f%%)", count, first, unknown, answers, 100*float64(unknown)/float64(answers))
+	t.Logf("%d schedules from seed %d, Unknown: first answers %v; last answers %v", count, seed, &first, &last)
 }
 
-func runSchedules(t *testing.T, injected faults, first uint64, count int) (answers, unknown int) {
-	for seed := first; seed < first+uint64(count); seed++ {
+func runSchedules(t *testing.T, injected faults, start uint64, count int) (first, last tally) {
+	for seed := start; seed < start+uint64(count); seed++ {
 		w := newWorld(seed, injected)
 		w.run()
 		w.check()
 		require.Empty(t, w.failures, "repeat with SEED=%d SCHEDULES=1 and -run %s", seed, strings.SplitN(t.Name(), "/batch", 2)[0])
-		answers += w.answers
-		unknown += w.unknown
+		first.add(w.first)
+		last.add(w.last)
 	}
-	return answers, unknown
+	return first, last
 }
 
 // run plays one schedule: faults on hosts, and callers that lose answers,
@@ -150,6 +151,7 @@
 	w.expiries[name] = claims.Expiry
 	w.mu.Unlock()
 	var copies sync.WaitGroup
+	var answered sync.Once
 	for number := range 1 + random.IntN(4) {
 		after := upTo(random, 35*time.Second)
 		if chance(random, 20) {
@@ -158,7 +160,16 @@
 		own := rand.New(rand.NewPCG(random.Uint64(), uint64(number)))
 		copies.Go(func() {
 			time.Sleep(after)
-			w.copy(name, token, own, chance(own, 30))
+			query := chance(own, 30)
+			outcome, ok := w.copy(name, token, own, query)
+			if !ok || query {
+				return
+			}
+			answered.Do(func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.first.count(outcome)
+			})
 		})
 	}
 	copies.Wait()
@@ -169,10 +180,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.answers++
-	if last.Refusal == nil && last.Kind == ebonyworks.OutcomeUnknown {
-		w.unknown++
-	}
+	w.last.count(last)
 }
 
 // copy sends one reservation or query to any host. A caller that gives up
@@ -206,6 +214,9 @@
 	if entry.gone() {
 		return ebonyworks.Outcome{}, false
 	}
+	if !query && outcome.Kind == ebonyworks.OutcomeRan && outcome.Result[0].Value != asked.Key {
+		w.fail("%s was told that another body ran", name)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.told[name] = append(w.told[name], outcome)
--- a/coordination/reservation/world_test.go
+++ b/coordination/reservation/world_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -37,9 +38,10 @@
 	expiries   map[string]time.Time
 	executions map[string]int
 	told       map[string][]ebonyworks.Outcome
-	answers    int
-	unknown    int
-	failures   []string
+	// first and last count the callers by the first answer to a reservation
+	// and the last answer to a query.
+	first, last tally
+	failures    []string
 }
 
 // faults are the kinds of fault that a schedule may contain.
@@ -48,6 +50,43 @@
 	refusals, losses, slow, invalid, crashes, pauses, splits, stops, net bool
 }
 
+// tally counts answers, and those that were Unknown by their code.
+type tally struct {
+	answers int
+	unknown map[ebonyworks.OutcomeCode]int
+}
+
+func (c *tally) count(outcome ebonyworks.Outcome) {
+	c.answers++
+	if c.unknown == nil {
+		c.unknown = map[ebonyworks.OutcomeCode]int{}
+	}
+	if outcome.Refusal == nil && outcome.Kind == ebonyworks.OutcomeUnknown {
+		c.unknown[outcome.Code]++
+	}
+}
+
+func (c *tally) add(other tally) {
+	c.answers += other.answers
+	if c.unknown == nil {
+		c.unknown = map[ebonyworks.OutcomeCode]int{}
+	}
+	for code, count := range other.unknown {
+		c.unknown[code] += count
+	}
+}
+
+// String returns the share of Unknown in percent, in all and by code.
+func (c *tally) String() string {
+	var text strings.Builder
+	total := 0
+	for _, code := range slices.Sorted(maps.Keys(c.unknown)) {
+		total += c.unknown[code]
+		fmt.Fprintf(&text, " %s %.2f", code, 100*float64(c.unknown[code])/float64(c.answers))
+	}
+	return fmt.Sprintf("%.2f%% of %d:%s", 100*float64(total)/float64(c.answers), c.answers, text.String())
+}
+
 // node is one incarnation of a host.
 type node struct {
 	world  *world
@@ -360,7 +399,7 @@
 		w.fail("%s was sent after its ticket expired", sent.Key)
 	}
 	b.gate()
-	reply := ebonyworks.SubConfirmation{Result: ebonyworks.AttemptServed, Request: sent.Request, Shard: sent.Shard}
+	reply := ebonyworks.SubConfirmation{Result: ebonyworks.AttemptServed, Request: sent.Request, Shard: sent.Shard, Fields: []ebonyworks.Field{{Name: "Key", Value: sent.Key}}}
 	if b.gone() {
 		return ebonyworks.SubConfirmation{}
 	}
