--- a/coordination/reservation/property_test.go
+++ b/coordination/reservation/property_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,7 +26,7 @@
 
 // Guards the promises to callers: at most one execution per ticket, NotRun
 // means none for ever, Ran means exactly one, and no two final outcomes. Set
-// SCHEDULES for a longer run and SEED to repeat one schedule.
+// SCHEDULES for a longer run, and SEED with SCHEDULES=1 to repeat one.
 func TestAtMostOnce(t *testing.T) {
 	all := faults{name: "all", refusals: true, losses: true, slow: true, invalid: true, crashes: true, pauses: true, splits: true, stops: true, net: true}
 	single := []faults{
@@ -34,12 +35,6 @@
 		{name: "pauses", pauses: true}, {name: "partitions", splits: true}, {name: "planned stops", stops: true},
 		{name: "lost and repeated messages", net: true},
 	}
-	if text := os.Getenv("SEED"); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		synctest.Test(t, func(t *testing.T) { runSchedules(t, all, seed, 1) })
-		return
-	}
 	schedules := defaultSchedules
 	if text := os.Getenv("SCHEDULES"); text != "" {
 		var err error
@@ -47,8 +42,13 @@
 		require.NoError(t, err)
 	}
 	first := rand.Uint64() >> 16
+	if text := os.Getenv("SEED"); text != "" {
+		var err error
+		first, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+	}
 	for _, injected := range append(single, all) {
-		count := schedules / 10
+		count := max(schedules/10, 1)
 		if injected.name == "all" {
 			count = schedules
 		}
@@ -56,37 +56,38 @@
 	}
 }
 
-// runBatches also reports the share of callers whose last answer was Unknown.
-func runBatches(t *testing.T, injected faults, first uint64, count int) {
+// runBatches also reports the shares of callers whose first answer to a
+// reservation and whose last answer to a query was Unknown.
+func runBatches(t *testing.T, injected faults, seed uint64, count int) {
 	var mu sync.Mutex
-	var answers, unknown int
+	var first, last tally
 	t.Run("batch", func(t *testing.T) {
 		for done := 0; done < count; done += batchSchedules {
 			t.Run("", func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					a, u := runSchedules(t, injected, first+uint64(done), min(batchSchedules, count-done))
+					f, l := runSchedules(t, injected, seed+uint64(done), min(batchSchedules, count-done))
 					mu.Lock()
 					defer mu.Unlock()
-					answers += a
-					unknown += u
+					first.add(f)
+					last.add(l)
 				})
 			})
 		}
 	})
-	t.Logf("%d schedules from seed %d: %d of %d callers ended with Unknown (%.2f%%)", count, first, unknown, answers, 100*float64(unknown)/float64(answers))
+	t.Logf("%d schedules from seed %d, Unknown: first answers %v; last answers %v", count, seed, &first, &last)
 }
 
-func runSchedules(t *testing.T, injected faults, first uint64, count int) (answers, unknown int) {
-	for seed := first; seed < first+uint64(count); seed++ {
+func runSchedules(t *testing.T, injected faults, start uint64, count int) (first, last tally) {
+	for seed := start; seed < start+uint64(count); seed++ {
 		w := newWorld(seed, injected)
 		w.run()
 		w.check()
-		require.Empty(t, w.failures, "repeat with SEED=%d", seed)
-		answers += w.answers
-		unknown += w.unknown
+		require.Empty(t, w.failures, "repeat with SEED=%d SCHEDULES=1 and -run %s", seed, strings.SplitN(t.Name(), "/batch", 2)[0])
+		first.add(w.first)
+		last.add(w.last)
 	}
-	return answers, unknown
+	return first, last
 }
 
 // run plays one schedule: faults on hosts, and callers that lose answers,
@@ -111,6 +112,9 @@
 func (w *world) disturb(slot int, random *rand.Rand) {
 	for range 3 {
 		time.Sleep(upTo(random, 40*time.Second))
+		if chance(random, 10) {
+			time.Sleep(upTo(random, 15*time.Minute))
+		}
 		target := w.node(slot)
 		switch kind := random.IntN(4); {
 		case kind == 0 && w.faults.crashes:
@@ -147,12 +151,25 @@
 	w.expiries[name] = claims.Expiry
 	w.mu.Unlock()
 	var copies sync.WaitGroup
+	var answered sync.Once
 	for number := range 1 + random.IntN(4) {
 		after := upTo(random, 35*time.Second)
+		if chance(random, 20) {
+			after = time.Until(claims.Expiry) - upTo(random, time.Second)
+		}
 		own := rand.New(rand.NewPCG(random.Uint64(), uint64(number)))
 		copies.Go(func() {
 			time.Sleep(after)
-			w.copy(name, token, own, chance(own, 30))
+			query := chance(own, 30)
+			outcome, ok := w.copy(name, token, own, query)
+			if !ok || query {
+				return
+			}
+			answered.Do(func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.first.count(outcome)
+			})
 		})
 	}
 	copies.Wait()
@@ -163,10 +180,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.answers++
-	if last.Refusal == nil && last.Kind == ebonyworks.OutcomeUnknown {
-		w.unknown++
-	}
+	w.last.count(last)
 }
 
 // copy sends one reservation or query to any host. A caller that gives up
@@ -200,6 +214,9 @@
 	if entry.gone() {
 		return ebonyworks.Outcome{}, false
 	}
+	if !query && outcome.Kind == ebonyworks.OutcomeRan && outcome.Result[0].Value != asked.Key {
+		w.fail("%s was told that another body ran", name)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.told[name] = append(w.told[name], outcome)
