--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -197,9 +197,8 @@
 		synctest.Wait()
 		_, queued, _ = g.Load(searches.ID)
 		assert.Equal(t, admission.MaxQueue, queued)
-		for _, admittance := range taken[:2] {
-			admittance.Done()
-		}
+		taken[0].Done()
+		taken[1].Done()
 		assert.Nil(t, <-got)
 	})
 }
--- a/coordination/gradient/gradient_test.go
+++ b/coordination/gradient/gradient_test.go
@@ -38,6 +38,13 @@
 	}
 }
 
+func (f *trial) refuse(times int, interval time.Duration) {
+	for range times {
+		f.now = f.now.Add(interval)
+		f.limit.Refused(f.now)
+	}
+}
+
 // Guards against a limit that collapses on the variance of service times,
 // that grows without bound under load, that forgets the floor in a long
 // overload, that shrinks while it isn't used, or that stays down for ever.
@@ -55,23 +62,11 @@
 		{"ten minutes of overload are bounded", func(f *trial) { f.run(60000, service, 4, true) }, 2, 16},
 		{"an hour of overload is bounded", func(f *trial) { f.run(360000, service, 4, true) }, 2, 24},
 		{"maximum", func(f *trial) { f.run(60000, service, 1000, true) }, 20, 64},
-		{"one refusal", func(f *trial) { f.limit.Refused(f.now) }, 2, 2},
-		{"refusals together count once", func(f *trial) {
-			for range 50 {
-				f.limit.Refused(f.now)
-			}
-		}, 2, 2},
-		{"refusals lower it to the minimum", func(f *trial) {
-			for range 50 {
-				f.now = f.now.Add(time.Second)
-				f.limit.Refused(f.now)
-			}
-		}, 1, 1},
+		{"one refusal", func(f *trial) { f.refuse(1, 0) }, 2, 2},
+		{"refusals together count once", func(f *trial) { f.refuse(50, 0) }, 2, 2},
+		{"refusals lower it to the minimum", func(f *trial) { f.refuse(50, time.Second) }, 1, 1},
 		{"recovers from the minimum", func(f *trial) {
-			for range 50 {
-				f.now = f.now.Add(time.Second)
-				f.limit.Refused(f.now)
-			}
+			f.refuse(50, time.Second)
 			f.run(500, service, 16, true)
 		}, 8, 50},
 		{"accepts a server that stays slower", func(f *trial) {
@@ -97,7 +92,6 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newTrial()
 			test.run(f)
-			t.Log("limit", f.limit.Value(), "mean", f.limit.Mean())
 			assert.GreaterOrEqual(t, f.limit.Value(), test.low)
 			assert.LessOrEqual(t, f.limit.Value(), test.high)
 		})
--- a/coordination/selection/benchmark_test.go
+++ b/coordination/selection/benchmark_test.go
@@ -38,6 +38,7 @@
 		})
 	}
 	heap := heapBytes()
+	// use measures the heap before and after one part has learned of all servers.
 	use := func(name string, learn func(service *ebonyworks.Service, record ebonyworks.AttemptRecord)) {
 		for i := range p.services {
 			for _, server := range p.services[i].Servers {
