--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging"
 	"github.com/ebonyworks/ebonyworks/state/catalogue"
 )
 
@@ -43,9 +44,11 @@
 		reason:  ebonyworks.MissNoServer,
 	}
 	defer s.ended()
-	if !s.start(ctx, false, false) {
+	candidate, ok := s.choose()
+	if !ok {
 		return s.missed()
 	}
+	s.start(ctx, candidate, false, false)
 	return s.collect(ctx)
 }
 
@@ -79,13 +82,15 @@
 	return s.missed()
 }
 
-// hedge starts a second attempt if the budget allows it.
+// hedge starts a second attempt if it is worth it and the budget allows it.
 func (s *shardRun) hedge(ctx context.Context) {
-	if len(s.remaining()) == 0 {
+	policy := s.run.coordinator.Hedging
+	candidate, ok := s.choose()
+	if !ok || !hedging.Worthwhile(policy.Delay(s.shard.service.ID), candidate) {
 		return
 	}
-	if s.run.coordinator.Hedging.AllowHedge(s.shard.service.ID) {
-		s.start(ctx, true, false)
+	if policy.AllowHedge(s.shard.service.ID) {
+		s.start(ctx, candidate, true, false)
 	}
 }
 
@@ -97,8 +102,9 @@
 	if failed.Result == ebonyworks.AttemptLost && !s.provenSafe(ctx) {
 		return
 	}
-	if s.run.coordinator.Hedging.AllowRetry(s.shard.service.ID) {
-		s.start(ctx, false, true)
+	candidate, ok := s.choose()
+	if ok && s.run.coordinator.Hedging.AllowRetry(s.shard.service.ID) {
+		s.start(ctx, candidate, false, true)
 	}
 }
 
@@ -124,14 +130,19 @@
 	}
 }
 
-// start runs an attempt at the selected server, and returns false if none is left.
-func (s *shardRun) start(ctx context.Context, hedge, retry bool) bool {
+// choose selects the server for the next attempt, and returns false if none is
+// left.
+func (s *shardRun) choose() (ebonyworks.Candidate, bool) {
 	candidates := s.remaining()
 	index, ok := s.run.coordinator.Selection.Select(candidates)
 	if !ok {
-		return false
+		return ebonyworks.Candidate{}, false
 	}
-	candidate := candidates[index]
+	return candidates[index], true
+}
+
+// start runs an attempt at the server.
+func (s *shardRun) start(ctx context.Context, candidate ebonyworks.Candidate, hedge, retry bool) {
 	s.asked = append(s.asked, candidate.Server.ID)
 	s.inFlight++
 	attempt := attempt{
@@ -146,7 +157,6 @@
 		result, record := attempt.do(ctx)
 		s.results <- attemptEnd{result: result, record: record}
 	}()
-	return true
 }
 
 func (s *shardRun) remaining() []ebonyworks.Candidate {
