--- /dev/null
+++ b/coordination/departure/example_test.go
@@ -0,0 +1,20 @@
+package departure_test
+
+import (
+	"fmt"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+)
+
+func Example() {
+	tracker := departure.New(departure.Config{})
+	tracker.Observe(ebonyworks.ServerReport{Server: "stock-finder-01-a", Incarnation: 1, Leaving: true})
+	fmt.Println(tracker.Leaving("stock-finder-01-a"))
+	// A restarted server has a new incarnation.
+	tracker.Observe(ebonyworks.ServerReport{Server: "stock-finder-01-a", Incarnation: 2})
+	fmt.Println(tracker.Leaving("stock-finder-01-a"))
+	// Output:
+	// true
+	// false
+}
--- /dev/null
+++ b/coordination/guild/example_test.go
@@ -0,0 +1,39 @@
+package guild_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/guild"
+)
+
+// wire is an ebonyworks.Peer between two guilds of one process.
+type wire struct {
+	ebonyworks.Peer
+	other *guild.Guild
+}
+
+func (w *wire) Exchange(ctx context.Context, _ netip.AddrPort, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	return w.other.HandleExchange(ctx, message)
+}
+
+func Example() {
+	host := func(id ebonyworks.HostID, address string) ebonyworks.Host {
+		return ebonyworks.Host{ID: id, Incarnation: 1, Address: netip.MustParseAddrPort(address)}
+	}
+	second := guild.New(guild.Config{Self: host("entry-2", "10.0.0.2:7443"), Random: rand.New(rand.NewPCG(1, 2))})
+	first := guild.New(guild.Config{
+		Self:   host("entry-1", "10.0.0.1:7443"),
+		Peer:   &wire{other: second},
+		Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	// A running guild finds its peers by itself; this asks one of them.
+	if err := first.Ask(context.Background(), netip.MustParseAddrPort("10.0.0.2:7443")); err != nil {
+		fmt.Println(err)
+	}
+	fmt.Println(first.Alive()[0].ID, second.Alive()[0].ID)
+	// Output: entry-2 entry-1
+}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -58,6 +58,8 @@
 	replaced bool
 	// alive is what Alive returned last; nil after a change.
 	alive []ebonyworks.Host
+	// sorted are the members ordered by id; nil after one was added or dropped.
+	sorted []*entry
 }
 
 // New returns a roster that knows only the host itself.
@@ -107,7 +109,7 @@
 			return Change{}
 		}
 		r.members[fact.Host.ID] = &entry{member: fact, since: now}
-		r.alive = nil
+		r.alive, r.sorted = nil, nil
 		return Change{Applied: true, New: true}
 	}
 	change := Change{Before: known.member.State, New: fact.Host.Incarnation > known.member.Host.Incarnation}
@@ -153,6 +155,7 @@
 		case known.member.State == ebonyworks.MemberDead && age >= keepDead,
 			known.member.State == ebonyworks.MemberLeft && age >= keepLeft:
 			delete(r.members, id)
+			r.sorted = nil
 		}
 	}
 	return dead
@@ -187,7 +190,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best ebonyworks.Member
-	for _, known := range r.members {
+	for _, known := range r.entries() {
 		if known.member.Host.Address != address {
 			continue
 		}
@@ -210,10 +213,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	members := make([]ebonyworks.Member, 0, len(r.members))
-	for _, known := range r.members {
+	for _, known := range r.entries() {
 		members = append(members, known.member)
 	}
-	slices.SortFunc(members, func(a, b ebonyworks.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
 	return members
 }
 
@@ -226,12 +228,11 @@
 		return r.alive
 	}
 	r.alive = make([]ebonyworks.Host, 0, len(r.members))
-	for _, known := range r.members {
+	for _, known := range r.entries() {
 		if known.member.State <= ebonyworks.MemberSuspect {
 			r.alive = append(r.alive, known.member.Host)
 		}
 	}
-	slices.SortFunc(r.alive, func(a, b ebonyworks.Host) int { return cmp.Compare(a.ID, b.ID) })
 	return r.alive
 }
 
@@ -242,8 +243,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fresh, settled := r.split(limit)
-	random.Shuffle(len(settled), func(i, j int) { settled[i], settled[j] = settled[j], settled[i] })
-	chosen := append(fresh, settled[:min(others, len(settled))]...)
+	chosen := append(fresh, pick(settled, others, random)...)
 	var facts []ebonyworks.Member
 	for _, known := range chosen {
 		budget -= Size(known.member)
@@ -264,21 +264,40 @@
 // split returns the facts that were sent in fewer than limit messages, fewest
 // first, and the others, both in a reproducible order.
 func (r *Roster) split(limit int) (fresh, settled []*entry) {
-	for _, known := range r.members {
+	for _, known := range r.entries() {
 		if known.sent < limit {
 			fresh = append(fresh, known)
 			continue
 		}
 		settled = append(settled, known)
 	}
-	byID := func(a, b *entry) int { return cmp.Compare(a.member.Host.ID, b.member.Host.ID) }
-	slices.SortFunc(settled, byID)
-	slices.SortFunc(fresh, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), byID(a, b))
-	})
+	slices.SortStableFunc(fresh, func(a, b *entry) int { return cmp.Compare(a.sent, b.sent) })
 	return fresh, settled
 }
 
+// pick moves up to count random entries to the front and returns them.
+func pick(entries []*entry, count int, random *rand.Rand) []*entry {
+	count = min(count, len(entries))
+	for i := range count {
+		j := i + random.IntN(len(entries)-i)
+		entries[i], entries[j] = entries[j], entries[i]
+	}
+	return entries[:count]
+}
+
+// entries returns the members ordered by id. r.mu is held.
+func (r *Roster) entries() []*entry {
+	if r.sorted != nil {
+		return r.sorted
+	}
+	r.sorted = make([]*entry, 0, len(r.members))
+	for _, known := range r.members {
+		r.sorted = append(r.sorted, known)
+	}
+	slices.SortFunc(r.sorted, func(a, b *entry) int { return cmp.Compare(a.member.Host.ID, b.member.Host.ID) })
+	return r.sorted
+}
+
 func (r *Roster) mergeSelf(fact ebonyworks.Member) Change {
 	self := &r.self.member
 	if fact.Host.Incarnation > self.Host.Incarnation {
@@ -307,6 +326,7 @@
 		return false
 	}
 	delete(r.members, oldest.member.Host.ID)
+	r.sorted = nil
 	return true
 }
 
--- a/transport/courier/client.go
+++ b/transport/courier/client.go
@@ -21,12 +21,18 @@
 
 const (
 	dialTime = time.Second
-	// idleTime closes connections that carried nothing. With up to 100 peers,
+	// idleTime closes connections that carried nothing. With up to 30 peers,
 	// each is probed more often than that, so its connection stays open.
-	idleTime = 110 * time.Second
-	// pingAfter and pingTime detect connections whose other end is gone.
-	pingAfter = 5 * time.Second
+	idleTime = 30 * time.Second
+	// pingAfter and pingTime detect that the other end of a silent connection
+	// is gone while a reply is awaited. Shorter times would cost more than the
+	// probes themselves.
+	pingAfter = 15 * time.Second
 	pingTime  = 2 * time.Second
+	// unacknowledgedTime ends a connection whose data isn't acknowledged, so
+	// that calls after a partition don't wait for a late retransmission.
+	unacknowledgedTime = 2 * time.Second
+	writeTime          = 5 * time.Second
 	// maxClients bounds the cache of clients by address.
 	maxClients = 1024
 	// compressAbove is the size from which replies are compressed.
@@ -51,13 +57,13 @@
 // NewClient returns a client. A nil dial opens TCP connections.
 func NewClient(dial Dial) *Client {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTime}).DialContext
+		dial = (&net.Dialer{Timeout: dialTime, Control: boundUnacknowledged}).DialContext
 	}
 	transport := &http.Transport{
 		DialContext:     dial,
 		Protocols:       unencryptedHTTP2(),
 		IdleConnTimeout: idleTime,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime, WriteByteTimeout: pingAfter},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime, WriteByteTimeout: writeTime},
 	}
 	return &Client{
 		transport: transport,
--- /dev/null
+++ b/transport/courier/exchange_bench_test.go
@@ -0,0 +1,155 @@
+//go:build unix
+
+package courier_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+	"github.com/ebonyworks/ebonyworks/coordination/guild"
+	"github.com/ebonyworks/ebonyworks/transport/courier"
+)
+
+// segmentBytes is the size of the IP and TCP headers of one segment.
+const segmentBytes = 52
+
+// countingListener counts what its connections carry.
+type countingListener struct {
+	net.Listener
+	bytes    atomic.Int64
+	segments atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	// The segments that open and close a connection.
+	l.segments.Add(7)
+	return &countingConn{Conn: conn, listener: l}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+func (c *countingConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.listener.bytes.Add(int64(n))
+	c.listener.segments.Add(1)
+	return n, err
+}
+
+func (c *countingConn) Write(buffer []byte) (int, error) {
+	n, err := c.Conn.Write(buffer)
+	c.listener.bytes.Add(int64(n))
+	c.listener.segments.Add(1)
+	return n, err
+}
+
+// BenchmarkExchange measures one probe between two members of a fleet, both
+// sides together: time, processor time, and bytes on the wire in both directions. From 100
+// members on, most probes find their connection closed.
+func BenchmarkExchange(b *testing.B) {
+	for _, size := range []int{8, 100, 400} {
+		for _, kept := range []bool{true, false} {
+			b.Run(fmt.Sprintf("members=%d/kept=%t", size, kept), func(b *testing.B) { benchmarkExchange(b, size, kept) })
+		}
+	}
+}
+
+func benchmarkExchange(b *testing.B, size int, kept bool) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	listener := &countingListener{Listener: inner}
+	address := netip.MustParseAddrPort(inner.Addr().String())
+	client := courier.NewClient(nil)
+	probing, probed := member(b, 0, size, address, client), member(b, 1, size, address, client)
+	server := courier.NewServer(&benchHandler{guild: probed})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	b.ReportAllocs()
+	before := processorTime(b)
+	for b.Loop() {
+		if !kept {
+			client.Close()
+		}
+		answered, err := probing.HandleRelay(b.Context(), address)
+		if err != nil || !answered {
+			b.Fatal("no answer")
+		}
+	}
+	used := processorTime(b) - before
+	b.ReportMetric(float64(used.Nanoseconds())/float64(b.N), "cpu-ns/op")
+	wire := listener.bytes.Load() + segmentBytes*listener.segments.Load()
+	b.ReportMetric(float64(wire)/float64(b.N), "wire-B/op")
+	require.NoError(b, server.Close())
+	require.NoError(b, <-done)
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// benchHandler serves the exchanges of a guild.
+type benchHandler struct {
+	recordingHandler
+	guild *guild.Guild
+}
+
+func (h *benchHandler) HandleExchange(ctx context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	return h.guild.HandleExchange(ctx, message)
+}
+
+// stamp adds the mark and the confirmation that a bulletin adds.
+type stamp struct{}
+
+func (stamp) Contribute(message *ebonyworks.Exchange, _ int) {
+	message.Mark = ebonyworks.Mark{Revision: 1 << 20, Digest: ebonyworks.Digest{1}}
+	message.Settled, message.Confirmed, message.ConfirmedBy = true, true, "entry-sapporo-002"
+	message.ConfirmedAge = time.Second
+}
+
+func (stamp) Absorb(ebonyworks.Exchange, time.Time) {}
+
+func (stamp) Doubt() {}
+
+// member returns a guild that knows size members and 20 leaving servers.
+func member(b *testing.B, index, size int, address netip.AddrPort, client *courier.Client) *guild.Guild {
+	b.Helper()
+	hosts := make([]ebonyworks.Member, size)
+	for i := range hosts {
+		hosts[i].Host = ebonyworks.Host{
+			ID: ebonyworks.HostID(fmt.Sprintf("entry-sapporo-%03d", i)), Incarnation: 1_765_000_000_000_000_000,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i)}), 7443), Domain: "Sapporo", Region: "Hokkaido",
+		}
+	}
+	hosts[1].Host.Address = address
+	g := guild.New(guild.Config{Self: hosts[index].Host, Peer: client, Random: rand.New(rand.NewPCG(1, uint64(index)))})
+	tracker := departure.New(departure.Config{})
+	for i := range 20 {
+		tracker.Observe(ebonyworks.ServerReport{Server: ebonyworks.ServerID(fmt.Sprintf("stock-finder-%02d-a", i)), Incarnation: 1 << 60, Leaving: true})
+	}
+	g.Attach(tracker)
+	g.Attach(stamp{})
+	_, err := g.HandleExchange(b.Context(), ebonyworks.Exchange{From: hosts[2].Host, Members: hosts})
+	require.NoError(b, err)
+	return g
+}
--- a/transport/courier/server.go
+++ b/transport/courier/server.go
@@ -44,7 +44,7 @@
 		WriteTimeout:      reservationTime + bodyTime,
 		IdleTimeout:       idleTime + bodyTime,
 		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: idleTime, PingTimeout: pingTime},
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: 2 * idleTime, PingTimeout: pingTime},
 	}}
 }
 
