--- a/coordination/bulletin/bulletin.go
+++ b/coordination/bulletin/bulletin.go
@@ -75,8 +75,7 @@
 	candidates []candidate
 	// heard are marks newer than the one in force that peers hold, at most
 	// maxHeard.
-	heard   []heardMark
-	pulling bool
+	heard []heardMark
 	// confirmed is when the service was read, by this host or another, and
 	// showed nothing newer. Zero means that it isn't known.
 	confirmed time.Time
--- a/coordination/bulletin/dissemination_test.go
+++ b/coordination/bulletin/dissemination_test.go
@@ -36,7 +36,7 @@
 	gossipSteps func(size int) int
 	// fanout is the number of random peers that each reached host tells once.
 	fanout int
-	// ring is the number of neighbours on each side that each reached host
+	// ring is the number of neighbors on each side that each reached host
 	// tells: at once, or after the gossip steps if there are any.
 	ring int
 	// checked goes on along the ring until a reached host is met on both sides.
@@ -190,7 +190,7 @@
 }
 
 // tell sends the mark, after which the receiver fetches the documents. Side is
-// 0 or 1 for ring neighbours and negative for random peers.
+// 0 or 1 for ring neighbors and negative for random peers.
 func (s *spreading) tell(from, to, side int) {
 	s.messages++
 	s.bytes += modelExchange
@@ -218,7 +218,7 @@
 	s.fetching[host] = true
 	s.messages += 4
 	s.bytes += modelDocuments
-	if s.lost() || s.lost() {
+	if twice := 1 - (1-s.loss)*(1-s.loss); s.random.Float64() < twice {
 		s.after(modelRetry, func() {
 			s.fetching[host] = false
 			s.fetch(host)
@@ -256,7 +256,7 @@
 	s.after(modelStep, func() { s.gossip(host, end) })
 }
 
-// correct tells the ring neighbours at the distance, then those further away.
+// correct tells the ring neighbors at the distance, then those further away.
 func (s *spreading) correct(host, distance int) {
 	size := len(s.dead)
 	if distance > size/2 || (!s.method.checked && distance > s.method.ring) {
@@ -287,7 +287,7 @@
 	messages, bytes, calls float64
 }
 
-func summarise(m method, size, seeds int, loss, deadShare float64) summary {
+func summarize(m method, size, seeds int, loss, deadShare float64) summary {
 	var times []time.Duration
 	var total summary
 	for seed := range seeds {
@@ -313,7 +313,7 @@
 	for _, size := range []int{8, 100, 400} {
 		for _, loss := range []float64{0, 0.01, 0.05} {
 			for _, deadShare := range []float64{0, 0.05} {
-				result := summarise(chosen, size, 20, loss, deadShare)
+				result := summarize(chosen, size, 20, loss, deadShare)
 				assert.Less(t, result.most, bound)
 				assert.LessOrEqual(t, result.missed, 0.05*float64(size))
 				assert.LessOrEqual(t, result.calls, float64(4*modelWatchers))
@@ -327,7 +327,7 @@
 
 func printTable(t *testing.T, size, seeds int, loss, deadShare float64) {
 	for _, m := range methods {
-		r := summarise(m, size, seeds, loss, deadShare)
+		r := summarize(m, size, seeds, loss, deadShare)
 		t.Logf("| %d | %.0f%% | %.0f%% | %s | %.1f | %.1f | %.0f | %s | %s | %s | %.2f |",
 			size, 100*loss, 100*deadShare, m.name, r.messages, r.bytes/1000, r.calls,
 			r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.most.Round(time.Millisecond), r.missed)
--- a/coordination/bulletin/watch.go
+++ b/coordination/bulletin/watch.go
@@ -165,16 +165,14 @@
 	return time.Duration(factor * float64(stepAge))
 }
 
-// readHead reads the head once and reports whether the service answered.
-func (b *Bulletin) readHead(ctx context.Context) bool {
+// readHead reads the head once.
+func (b *Bulletin) readHead(ctx context.Context) {
 	asked := time.Now()
 	value, err := b.read(ctx, b.config.HeadKey)
 	b.noteService(err)
-	if err != nil {
-		return false
+	if err == nil {
+		b.show(value, asked)
 	}
-	b.show(value, asked)
-	return true
 }
 
 func (b *Bulletin) read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
--- a/coordination/guild/spread.go
+++ b/coordination/guild/spread.go
@@ -15,7 +15,7 @@
 	// fanout is the number of random members that learn of an urgent fact at
 	// once from each host that learned of it.
 	fanout = 2
-	// ringReach is the number of ring neighbours in each direction that are
+	// ringReach is the number of ring neighbors in each direction that are
 	// told as well.
 	ringReach = 2
 	// burstGap gathers urgent facts that arrive together.
@@ -76,7 +76,7 @@
 	return g.budget.take(time.Now())
 }
 
-// spreadTargets returns random members and the neighbours on the ring of all
+// spreadTargets returns random members and the neighbors on the ring of all
 // members ordered by id.
 func (g *Guild) spreadTargets() []netip.AddrPort {
 	alive := g.roster.Alive()
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -243,9 +243,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fresh, settled := r.split(limit)
-	chosen := append(fresh, pick(settled, others, random)...)
+	fresh = append(fresh, pick(settled, others, random)...)
 	var facts []ebonyworks.Member
-	for _, known := range chosen {
+	for _, known := range fresh {
 		budget -= Size(known.member)
 		if budget < 0 {
 			break
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -78,7 +78,7 @@
 }
 
 // Guards against messages beyond the budget, and against new facts that are
-// left out in favour of old ones.
+// left out in favor of old ones.
 func TestFacts(t *testing.T) {
 	r := roster.New(fact("self", 1, 0, 0).Host)
 	random := rand.New(rand.NewPCG(1, 1))
