Route reservations by the partition that servers have taken up

Cause: reservations went by the newest published partition. The new test fails on the version before (shard fitting-desk-shard-upper for both reservations) and passes now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,9 @@
 	office     *ticket.Office
 	searches   *search.Coordinator
 	runner     *reservation.Runner
+	// reservable is the configuration in force without partitions that no server
+	// has reported yet.
+	reservable atomic.Pointer[ebonyworks.Configuration]
 	// reports bounds the crash reports that are being sent.
 	reports chan struct{}
 	// started is when Run was called, in nanoseconds since the epoch.
@@ -168,7 +171,7 @@
 	h.runner = reservation.New(reservation.Settings{
 		Host:          h.options.Self.ID,
 		Incarnation:   h.options.Self.Incarnation,
-		Configuration: h.edition.Current,
+		Configuration: h.reservable.Load,
 		Tickets:       h.office,
 		Ledger:        &ledger.Ledger{},
 		Hosts:         hosts{h},
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
 )
 
@@ -220,3 +221,21 @@
 		assert.Equal(t, base, s.hosts[2].host.Status().Mark)
 	})
 }
+
+// Guards against reservations that go by a partition that is published but not
+// yet taken up by the servers.
+func TestReservationsFollowTheServersPartition(t *testing.T) {
+	run(t, func(t *testing.T, s *site) {
+		catalogue, _ := s.configuration.Catalogue(kitakaze.FittingDesk)
+		before := catalogue.Partitions[0].Shards[0].ID
+		s.plan.Repartition(kitakaze.FittingDesk, operator.NextPartition(catalogue.Partitions[0]).
+			Split(before, "a", "fitting-desk-shard-upper", catalogue.Services[0].ID))
+		s.publish(2, s.hosts[0].host.Status().Mark)
+		time.Sleep(5 * time.Second)
+		s.reserve("bundle-1", 0, 0)
+		s.change(func() { s.epoch = 2 })
+		time.Sleep(5 * time.Second)
+		s.reserve("bundle-2", 0, 0)
+		assert.Equal(t, []ebonyworks.ShardID{before, "fitting-desk-shard-upper"}, s.shards)
+	})
+}
--- a/entry/loops.go
+++ b/entry/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,7 +93,8 @@
 	Retain(servers []ebonyworks.Server)
 }
 
-// followConfiguration tells the parts of the host about each new configuration.
+// followConfiguration tells the parts of the host about each new configuration,
+// and follows the partitions that servers have taken up.
 func (h *Host) followConfiguration(ctx context.Context) {
 	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
@@ -105,12 +107,52 @@
 		}
 		h.quota.SetHosts(len(h.guild.Alive()) + 1)
 		configuration := h.edition.Current()
-		if configuration == seen {
+		if configuration == nil {
+			continue
+		}
+		h.reservable.Store(h.withoutFuturePartitions(configuration))
+		if configuration != seen {
+			seen = configuration
+			h.retain(configuration)
+		}
+	}
+}
+
+// withoutFuturePartitions returns the configuration for reservations. Operators
+// publish a partition before the servers take it up, and until then its keys
+// belong to the servers of the partition before.
+func (h *Host) withoutFuturePartitions(configuration *ebonyworks.Configuration) *ebonyworks.Configuration {
+	view := *configuration
+	view.Catalogues = slices.Clone(configuration.Catalogues)
+	for i := range view.Catalogues {
+		catalogue := &view.Catalogues[i]
+		newest, ok := h.newestEpoch(catalogue)
+		if !ok {
 			continue
 		}
-		seen = configuration
-		h.retain(configuration)
+		current := slices.IndexFunc(catalogue.Partitions, func(partition ebonyworks.Partition) bool {
+			return partition.Epoch > newest
+		})
+		if current > 0 {
+			catalogue.Partitions = catalogue.Partitions[:current]
+		}
+	}
+	return &view
+}
+
+// newestEpoch returns the partition epoch of the newest reported snapshot.
+func (h *Host) newestEpoch(catalogue *ebonyworks.Catalogue) (ebonyworks.PartitionEpoch, bool) {
+	var servers []ebonyworks.ServerID
+	for _, service := range catalogue.Services {
+		for _, server := range service.Servers {
+			servers = append(servers, server.ID)
+		}
+	}
+	snapshots := h.catalogue.Snapshots(servers)
+	if len(snapshots) == 0 {
+		return 0, false
 	}
+	return snapshots[0].Epoch, true
 }
 
 func (h *Host) retain(configuration *ebonyworks.Configuration) {
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -46,6 +46,10 @@
 	servers map[ebonyworks.ServerID]*backend
 	values  map[ebonyworks.Key]ebonyworks.Value
 	outage  bool
+	// epoch is the partition epoch of all snapshots.
+	epoch ebonyworks.PartitionEpoch
+	// shards lists the shards of reservations as they reached servers.
+	shards []ebonyworks.ShardID
 	// newest is the newest snapshot that all servers hold.
 	newest ebonyworks.SnapshotNumber
 	// executions counts the reservations that servers started, by key.
@@ -88,6 +92,7 @@
 		servers:    make(map[ebonyworks.ServerID]*backend),
 		values:     make(map[ebonyworks.Key]ebonyworks.Value),
 		newest:     5,
+		epoch:      1,
 		executions: make(map[string]int),
 	}
 	s.publish(1, ebonyworks.Mark{})
@@ -224,7 +229,7 @@
 func (s *site) report(id ebonyworks.ServerID, server *backend) ebonyworks.ServerReport {
 	report := ebonyworks.ServerReport{Server: id, Incarnation: server.incarnation, Leaving: server.leaving}
 	for number := s.newest - retained + 1; number <= s.newest; number++ {
-		report.Snapshots = append(report.Snapshots, ebonyworks.Snapshot{Number: number, Epoch: 1})
+		report.Snapshots = append(report.Snapshots, ebonyworks.Snapshot{Number: number, Epoch: s.epoch})
 	}
 	return report
 }
@@ -307,6 +312,7 @@
 	}
 	m.site.mu.Lock()
 	m.site.executions[reservation.Key]++
+	m.site.shards = append(m.site.shards, reservation.Shard)
 	loses := m.site.servers[server.ID].loses
 	m.site.mu.Unlock()
 	if travel(ctx, duration+networkDelay) != nil {
