--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -233,7 +233,10 @@
 		s.publish(2, s.hosts[0].host.Status().Mark)
 		time.Sleep(5 * time.Second)
 		s.reserve("bundle-1", 0, 0)
-		s.change(func() { s.epoch = 2 })
+		s.change(func() {
+			s.epoch = 2
+			s.newest += retained
+		})
 		time.Sleep(5 * time.Second)
 		s.reserve("bundle-2", 0, 0)
 		assert.Equal(t, []ebonyworks.ShardID{before, "fitting-desk-shard-upper"}, s.shards)
