--- a/load/report/report_test.go
+++ b/load/report/report_test.go
@@ -36,7 +36,7 @@
 	recorder.Add(Sample{Latency: 7 * time.Millisecond, Result: load.Result{Ending: load.Settled, Code: "timeout"}})
 	// 397 shards were covered and one reservation ran.
 	recorder.Boundary(load.Counters{Served: 400, Shed: 12, Abandoned: 36}, true)
-	results := recorder.Results(Origin{Scenario: "s"}, 400, []PhaseSpan{{Name: "One", Percent: 50, Duration: 2 * time.Second}})
+	results := recorder.Results(Origin{Scenario: "s"}, Capacity{Requests: 120, Searches: 99}, []PhaseSpan{{Name: "One", Percent: 50, Duration: 2 * time.Second}})
 	require.Len(t, results, 1)
 	result := results[0]
 	assert.Equal(t, AllPhases, result.Phase)
@@ -44,6 +44,7 @@
 		result.Requests, result.Answers, result.Offered, result.Achieved, result.Goodput, result.Percent,
 	})
 	assert.InEpsilon(t, 99.0, result.CompletePercent, 1e-9)
+	assert.InEpsilon(t, 50.0, result.GoodputPercent, 1e-9)
 	assert.InEpsilon(t, 99.25, result.CoveragePercent, 1e-9)
 	assert.InEpsilon(t, 10.0, result.Latency.P99, 0.01)
 	assert.InEpsilon(t, 300.0, result.Latency.Max, 0.01)
@@ -94,7 +95,7 @@
 				recorder.Add(Sample{Kind: ebonyworks.ReservationRoute, Phase: Uncounted, Result: result})
 			}
 			recorder.SetExecutions(test.executions)
-			results := recorder.Results(Origin{}, 1, []PhaseSpan{{Name: "P", Duration: time.Second}})
+			results := recorder.Results(Origin{}, Capacity{}, []PhaseSpan{{Name: "P", Duration: time.Second}})
 			assert.Equal(t, test.want, results[0].Violations)
 			assert.Equal(t, test.want != nil, Violated(results))
 		})
@@ -109,7 +110,7 @@
 	recorder.Boundary(load.Counters{}, false)
 	recorder.Boundary(load.Counters{Served: 9}, true)
 	half := PhaseSpan{Name: "P", Duration: time.Second / 2}
-	results := recorder.Results(Origin{}, 1, []PhaseSpan{half, half})
+	results := recorder.Results(Origin{}, Capacity{}, []PhaseSpan{half, half})
 	require.Len(t, results, 3)
 	assert.Equal(t, []bool{false, false, true}, []bool{results[0].BackendKnown, results[1].BackendKnown, results[2].BackendKnown})
 	var lines bytes.Buffer
--- a/load/report/result.go
+++ b/load/report/result.go
@@ -26,6 +26,13 @@
 	Started time.Time
 }
 
+// Capacity is the load that uses all slots of the busiest service.
+type Capacity struct {
+	// Requests and Searches are rates per second; reservations make the
+	// difference.
+	Requests, Searches float64
+}
+
 // PhaseSpan is what was planned for a phase.
 type PhaseSpan struct {
 	Name     string
@@ -58,10 +65,8 @@
 	// Percent is the load in percent of slots; zero for several phases.
 	Percent int
 	// Seconds is the planned length.
-	Seconds float64
-	// Capacity is the rate of requests per second that uses all slots of the
-	// busiest service.
-	Capacity float64
+	Seconds  float64
+	Capacity Capacity
 	// Offered and Achieved are rates per second: of requests that were due, and
 	// of those that ended with a reply.
 	Offered, Achieved float64
@@ -71,8 +76,9 @@
 	Latency Latency
 	// CompletePercent and CoveragePercent are parts of the answers.
 	CompletePercent, CoveragePercent float64
-	// Goodput is the rate of complete answers per second.
-	Goodput float64
+	// Goodput is the rate of complete answers per second, and GoodputPercent
+	// its part of the searches that use all slots.
+	Goodput, GoodputPercent float64
 	// Missed counts missed shards by reason, Refused requests by code, and
 	// Failed requests by reason.
 	Missed, Refused, Failed []Count
@@ -104,7 +110,7 @@
 
 // Results returns one result for each phase, if there are several, and one for
 // all of them.
-func (r *Recorder) Results(origin Origin, capacity float64, spans []PhaseSpan) []Result {
+func (r *Recorder) Results(origin Origin, capacity Capacity, spans []PhaseSpan) []Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := newTally()
@@ -127,7 +133,7 @@
 	return append(results, total)
 }
 
-func (r *Recorder) result(origin Origin, capacity float64, span PhaseSpan, t *tally, from, to int) Result {
+func (r *Recorder) result(origin Origin, capacity Capacity, span PhaseSpan, t *tally, from, to int) Result {
 	seconds := span.Duration.Seconds()
 	result := Result{
 		Origin:             origin,
@@ -153,6 +159,9 @@
 		result.CompletePercent = percent * float64(t.complete) / float64(t.answers)
 		result.CoveragePercent = percent * t.coverage / float64(t.answers)
 	}
+	if capacity.Searches > 0 {
+		result.GoodputPercent = percent * result.Goodput / capacity.Searches
+	}
 	if to < len(r.boundaries) {
 		result.span(r.boundaries[from], r.boundaries[to])
 	}
--- a/load/report/table.go
+++ b/load/report/table.go
@@ -9,7 +9,7 @@
 
 // columns are the headings of the table. Rates are per second and latencies in
 // milliseconds.
-const columns = "user\tscenario\tpolicy\tphase\tload\toffered/s\tachieved/s\tp50\tp90\tp99\tp99.9\tmax\tcomplete\tcoverage\tgoodput/s\textra\tcrashes\tCPU\t"
+const columns = "user\tscenario\tpolicy\tphase\tload\toffered/s\tachieved/s\tp50\tp90\tp99\tp99.9\tmax\tcomplete\tcoverage\tgoodput/s\tof slots\textra\tcrashes\tCPU\t"
 
 // Table writes the results as an aligned table, followed by what doesn't fit
 // into columns.
@@ -47,7 +47,7 @@
 		fmt.Sprintf("%.1f", r.Latency.P50), fmt.Sprintf("%.1f", r.Latency.P90), fmt.Sprintf("%.1f", r.Latency.P99),
 		fmt.Sprintf("%.1f", r.Latency.P999), fmt.Sprintf("%.1f", r.Latency.Max),
 		fmt.Sprintf("%.2f%%", r.CompletePercent), fmt.Sprintf("%.3f%%", r.CoveragePercent),
-		fmt.Sprintf("%.0f", r.Goodput), extra, crashes, fmt.Sprintf("%.0f%%", r.MachineBusyPercent),
+		fmt.Sprintf("%.0f", r.Goodput), fmt.Sprintf("%.0f%%", r.GoodputPercent), extra, crashes, fmt.Sprintf("%.0f%%", r.MachineBusyPercent),
 	}
 }
 
--- a/load/run/run.go
+++ b/load/run/run.go
@@ -106,7 +106,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.recorder.Results(origin, r.Capacity(), r.spans()), nil
+	return r.recorder.Results(origin, r.capacities(), r.spans()), nil
+}
+
+// capacities returns the capacity for the whole mix and for its searches.
+func (r *Run) capacities() report.Capacity {
+	var all, searches int
+	for _, route := range r.Settings.Mix.Routes {
+		all += route.Weight
+		if route.Kind == ebonyworks.SearchRoute {
+			searches += route.Weight
+		}
+	}
+	capacity := r.Capacity()
+	return report.Capacity{Requests: capacity, Searches: capacity * float64(searches) / float64(all)}
 }
 
 func (r *Run) spans() []report.PhaseSpan {
