Let the direct fan-out know only what each host would know

A single view over all addresses knows more outstanding requests than any host does, so it was no measure of what the host adds. The single view stays available as DirectShared.

--- a/cmd/ebony-load/run.go
+++ b/cmd/ebony-load/run.go
@@ -34,8 +34,9 @@
 	// entry host. It is above what an overload needs, so that reconnecting isn't
 	// part of the latency.
 	maxIdleConnections = 1024
-	// directPolicy names runs without entry hosts in results.
+	// directPolicy and sharedPolicy name runs without entry hosts in results.
 	directPolicy = "Direct"
+	sharedPolicy = "DirectShared"
 	// resultsName is the file of results in the output directory.
 	resultsName = "results.jsonl"
 )
@@ -48,6 +49,7 @@
 	hosts    []string
 	standIns []string
 	direct   []string
+	shared   bool
 	output   string
 	seed     uint64
 	// command is the command line for results.
@@ -72,6 +74,7 @@
 	flags.StringArrayVar(&o.hosts, "host", nil, "URL of an entry host; repeatable")
 	flags.StringArrayVar(&o.standIns, "standins", nil, "URL of the administration interface of a stand-in process; repeatable")
 	flags.StringArrayVar(&o.direct, "direct", nil, "send sub-requests to the servers from this address instead of using entry hosts; repeatable")
+	flags.BoolVar(&o.shared, "shared", false, "with --direct: choose by the outstanding requests from all addresses together")
 	flags.StringVar(&o.output, "output", ".", "directory of the file "+resultsName)
 	flags.Uint64Var(&o.seed, "seed", scenario.DefaultSeed, "seed of arrivals and requests")
 	_ = command.MarkFlagRequired("scenario")
@@ -125,7 +128,10 @@
 
 func (o *options) origin(settings *scenario.Settings) report.Origin {
 	policy := o.policy
-	if len(o.direct) > 0 {
+	switch {
+	case len(o.direct) > 0 && o.shared:
+		policy = sharedPolicy
+	case len(o.direct) > 0:
 		policy = directPolicy
 	}
 	return report.Origin{
@@ -191,7 +197,7 @@
 		clients = append(clients, created)
 		backends = append(backends, created)
 	}
-	target := direct.New(backends, r.Configuration, r.Settings.ClientDelay)
+	target := direct.New(r.Configuration, direct.Options{Backends: backends, Shared: o.shared, Delay: r.Settings.ClientDelay})
 	r.Target = target
 	return release, target.Prepare(ctx)
 }
--- a/load/direct/direct.go
+++ b/load/direct/direct.go
@@ -19,16 +19,15 @@
 // replicas with the fewest outstanding ones. It neither hedges nor retries.
 // Reservations are sent to one server without a ticket.
 type Target struct {
-	backends      []ebonyworks.Backend
+	options       Options
 	configuration *ebonyworks.Configuration
-	delay         time.Duration
 	requests      atomic.Uint64
 	// started makes request ids unique across runs.
 	started time.Time
 
 	mu sync.Mutex
-	// outstanding has one entry per server of the configuration.
-	outstanding map[ebonyworks.ServerID]int
+	// outstanding has at most one entry per view and server of the configuration.
+	outstanding map[viewed]int
 	// turn breaks ties in turn.
 	turn int
 	// snapshots holds the newest known snapshot of each catalogue.
@@ -37,17 +36,31 @@
 
 var _ load.Target = (*Target)(nil)
 
-// New returns a target. Requests take the backends in turn, each of which
-// stands for the place of one entry host. Delay is the one-way delay between
-// client and host, which is added on both sides of each request as with entry
-// hosts.
-func New(backends []ebonyworks.Backend, configuration *ebonyworks.Configuration, delay time.Duration) *Target {
+// Options describe how the target reaches the servers.
+type Options struct {
+	// Backends are taken in turn; each stands for the place of one entry host.
+	Backends []ebonyworks.Backend
+	// Shared lets all backends choose by the outstanding requests of all of
+	// them. Otherwise each knows only its own, as an entry host does.
+	Shared bool
+	// Delay is the one-way delay between client and host, which is added on both
+	// sides of each request as with entry hosts.
+	Delay time.Duration
+}
+
+// viewed is a server as one view sees it.
+type viewed struct {
+	view   int
+	server ebonyworks.ServerID
+}
+
+// New returns a target.
+func New(configuration *ebonyworks.Configuration, options Options) *Target {
 	return &Target{
-		backends:      backends,
+		options:       options,
 		configuration: configuration,
-		delay:         delay,
 		started:       time.Now(),
-		outstanding:   make(map[ebonyworks.ServerID]int),
+		outstanding:   make(map[viewed]int),
 		snapshots:     make(map[ebonyworks.CatalogueID]ebonyworks.Snapshot),
 	}
 }
@@ -55,7 +68,7 @@
 // Prepare asks every server for its snapshots, which also opens the
 // connections.
 func (t *Target) Prepare(ctx context.Context) error {
-	for _, backend := range t.backends {
+	for _, backend := range t.options.Backends {
 		for i := range t.configuration.Catalogues {
 			if err := t.prepare(ctx, backend, &t.configuration.Catalogues[i]); err != nil {
 				return err
@@ -106,14 +119,18 @@
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	number := t.requests.Add(1)
+	place := int(number % uint64(len(t.options.Backends)))
 	call := call{
 		id:        ebonyworks.RequestID(fmt.Sprintf("direct-%d-%d", t.started.UnixNano(), number)),
-		backend:   t.backends[number%uint64(len(t.backends))],
+		backend:   t.options.Backends[place],
 		catalogue: catalogue,
 		request:   request,
 	}
+	if !t.options.Shared {
+		call.view = place
+	}
 	result := t.run(bounded, call)
-	result.Delay = 2 * t.delay
+	result.Delay = 2 * t.options.Delay
 	return result
 }
 
@@ -121,6 +138,7 @@
 type call struct {
 	id        ebonyworks.RequestID
 	backend   ebonyworks.Backend
+	view      int
 	catalogue *ebonyworks.Catalogue
 	partition ebonyworks.Partition
 	snapshot  ebonyworks.Snapshot
@@ -163,8 +181,8 @@
 
 func (t *Target) searchShard(ctx context.Context, call call, shard ebonyworks.Shard) ebonyworks.SubAnswer {
 	service, _ := call.catalogue.Service(shard.Service)
-	server := t.take(service)
-	defer t.release(server)
+	server := t.take(call.view, service)
+	defer t.release(call.view, server)
 	answer := call.backend.Search(ctx, service, server, ebonyworks.SubSearch{
 		Request:   call.id,
 		Catalogue: call.catalogue.ID,
@@ -180,8 +198,8 @@
 func (t *Target) reserve(ctx context.Context, call call) load.Result {
 	shard := call.partition.Overlapping(ebonyworks.SingleKey(call.request.Key))[0]
 	service, _ := call.catalogue.Service(shard.Service)
-	server := t.take(service)
-	defer t.release(server)
+	server := t.take(call.view, service)
+	defer t.release(call.view, server)
 	confirmation := call.backend.Reserve(ctx, service, server, ebonyworks.SubReservation{
 		Request:   call.id,
 		Catalogue: call.catalogue.ID,
@@ -203,24 +221,24 @@
 
 // take returns the replica with the fewest outstanding requests and counts one
 // more for it.
-func (t *Target) take(service *ebonyworks.Service) ebonyworks.Server {
+func (t *Target) take(view int, service *ebonyworks.Service) ebonyworks.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.turn++
 	best := service.Servers[t.turn%len(service.Servers)]
 	for _, server := range service.Servers {
-		if t.outstanding[server.ID] < t.outstanding[best.ID] {
+		if t.outstanding[viewed{view, server.ID}] < t.outstanding[viewed{view, best.ID}] {
 			best = server
 		}
 	}
-	t.outstanding[best.ID]++
+	t.outstanding[viewed{view, best.ID}]++
 	return best
 }
 
-func (t *Target) release(server ebonyworks.Server) {
+func (t *Target) release(view int, server ebonyworks.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outstanding[server.ID]--
+	t.outstanding[viewed{view, server.ID}]--
 }
 
 func missReason(result ebonyworks.AttemptResult) ebonyworks.MissReason {
--- a/load/direct/direct_test.go
+++ b/load/direct/direct_test.go
@@ -56,12 +56,14 @@
 	return ebonyworks.ServerReport{Snapshots: []ebonyworks.Snapshot{{Number: 6, Epoch: 1}, {Number: 7, Epoch: 1}}}, ebonyworks.AttemptServed
 }
 
-func newTarget(t *testing.T, b *backend) *direct.Target {
+func newTarget(t *testing.T, b *backend, shared bool) *direct.Target {
 	b.asked = make(map[ebonyworks.ServerID]int)
 	b.failing = ebonyworks.AttemptServed
 	configuration, problems := kitakaze.Plan(operator.Addresses{}).Configuration()
 	require.Empty(t, problems)
-	target := direct.New([]ebonyworks.Backend{b, b}, configuration, 3*time.Millisecond)
+	target := direct.New(configuration, direct.Options{
+		Backends: []ebonyworks.Backend{b, b}, Shared: shared, Delay: 3 * time.Millisecond,
+	})
 	require.NoError(t, target.Prepare(t.Context()))
 	return target
 }
@@ -76,7 +78,7 @@
 func TestLeastOutstanding(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &backend{straggler: "stock-finder-01-a"}
-		target := newTarget(t, b)
+		target := newTarget(t, b, true)
 		var pending sync.WaitGroup
 		for range 10 {
 			pending.Go(func() {
@@ -91,6 +93,28 @@
 	})
 }
 
+// Guards against a baseline that knows more than an entry host could.
+func TestSeparateViews(t *testing.T) {
+	most := func(shared bool) int {
+		var most int
+		synctest.Test(t, func(t *testing.T) {
+			b := &backend{straggler: "stock-finder-01-a"}
+			target := newTarget(t, b, shared)
+			var pending sync.WaitGroup
+			for range 40 {
+				pending.Go(func() { target.Do(t.Context(), search) })
+				time.Sleep(20 * time.Millisecond)
+			}
+			pending.Wait()
+			most = b.asked["stock-finder-01-a"]
+		})
+		return most
+	}
+	// One view knows of one outstanding request at the straggler, two views
+	// leave one there each.
+	assert.Greater(t, most(false), most(true))
+}
+
 // Guards against failed sub-requests that count as covered shards or as
 // reservations that ran.
 func TestFailures(t *testing.T) {
@@ -108,7 +132,7 @@
 	for _, test := range tests {
 		synctest.Test(t, func(t *testing.T) {
 			b := &backend{}
-			target := newTarget(t, b)
+			target := newTarget(t, b, false)
 			b.failing = test.failing
 			result := target.Do(t.Context(), search)
 			assert.Zero(t, result.Covered)
