--- a/daemon/process.go
+++ b/daemon/process.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -259,6 +260,9 @@
 func (p *process) adminServer() *http.Server {
 	routes := http.NewServeMux()
 	routes.Handle("GET /metrics", p.telemetry.MetricsHandler())
+	routes.HandleFunc("GET /debug/pprof/", pprof.Index)
+	routes.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	routes.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return &http.Server{Handler: routes, ReadHeaderTimeout: headerTimeout}
 }
 
