Don't suspect requests that have completed when a server goes away

Cause: when the first replica of each service restarted, each search in flight lost several sub-requests. A request that crashes every server never completes, so one death says nothing of a request that completed before, nor of a search that another server has completed. Ruled out: counting only deaths of servers that didn't restart, which would exempt a real crash with a fast restart.

--- a/coordination/inspection/inspector.go
+++ b/coordination/inspection/inspector.go
@@ -57,9 +57,11 @@
 	deaths int
 }
 
-// Inspect returns RunAll for a fingerprint that completed in the last 10
-// minutes and isn't suspected since, RunNone after two deaths, and RunOne
-// otherwise. The refusal says that this copy didn't run.
+// Inspect returns RunNone after two deaths, RunAll for a fingerprint that
+// completed in the last 10 minutes, and RunOne otherwise. One death says little
+// of a request that has completed before: a request that crashes every server
+// never completes, and servers also go away for other reasons. The refusal says
+// that this copy didn't run.
 func (i *Inspector) Inspect(fingerprint ebonyworks.Fingerprint) (ebonyworks.Verdict, *ebonyworks.Refusal) {
 	now := time.Now()
 	i.mu.Lock()
@@ -68,7 +70,7 @@
 	switch {
 	case count >= deathsToBlock:
 		return ebonyworks.RunNone, blocked(now, last, false)
-	case count == 0 && i.safe.contains(now, fingerprint):
+	case i.safe.contains(now, fingerprint):
 		return ebonyworks.RunAll, nil
 	default:
 		return ebonyworks.RunOne, nil
--- a/coordination/search/attempt.go
+++ b/coordination/search/attempt.go
@@ -123,6 +123,10 @@
 	}
 	switch record.Result {
 	case ebonyworks.AttemptLost:
+		if a.run.isProven() {
+			// The server went away for another reason.
+			return
+		}
 		coordinator.Inspection.Died(a.run.request.fingerprint, a.server.ID, a.incarnation)
 	case ebonyworks.AttemptSnapshotGone:
 		coordinator.Catalogue.Dropped(a.server.ID, a.run.plan.snapshot)
--- a/coordination/search/run.go
+++ b/coordination/search/run.go
@@ -143,6 +143,16 @@
 	})
 }
 
+// isProven reports whether a server has completed the request.
+func (r *run) isProven() bool {
+	select {
+	case <-r.proven:
+		return true
+	default:
+		return false
+	}
+}
+
 // withdrawProof counts one shard less that could prove the request safe.
 func (r *run) withdrawProof() {
 	if r.unproven.Add(-1) == 0 {
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -279,6 +279,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.servers[server.ID]
+	if state.loses {
+		return ebonyworks.SubAnswer{Result: ebonyworks.AttemptLost}
+	}
 	report := s.report(server.ID, state)
 	if !slices.Contains(report.Snapshots, search.Snapshot) {
 		return ebonyworks.SubAnswer{Result: ebonyworks.AttemptSnapshotGone, Report: report}
