--- a/coordination/reservation/close.go
+++ b/coordination/reservation/close.go
@@ -20,12 +20,12 @@
 func (r *Runner) Close(ctx context.Context) error {
 	r.mu.Lock()
 	r.closing = true
-	r.Ledger.Stop()
+	r.settings.Ledger.Stop()
 	r.mu.Unlock()
 	r.awaitRuns(ctx)
-	own := r.Ledger.Close(r.Host, r.Incarnation)
+	own := r.settings.Ledger.Close(r.settings.Host, r.settings.Incarnation)
 	err := r.handOver(ctx, own)
-	for _, held := range r.Ledger.Held(r.Tickets.Now()) {
+	for _, held := range r.settings.Ledger.Held(r.settings.Tickets.Now()) {
 		err = errors.Join(err, r.handOver(ctx, held))
 	}
 	return err
@@ -33,10 +33,10 @@
 
 // HandleHandOver keeps the closed ledger of another incarnation.
 func (r *Runner) HandleHandOver(_ context.Context, closed ebonyworks.ClosedLedger) error {
-	if closed.Host == r.Host && closed.Incarnation == r.Incarnation {
+	if closed.Host == r.settings.Host && closed.Incarnation == r.settings.Incarnation {
 		return errors.New("a host can't take over its own ledger")
 	}
-	return r.Ledger.Hold(r.Tickets.Now(), closed)
+	return r.settings.Ledger.Hold(r.settings.Tickets.Now(), closed)
 }
 
 // awaitRuns waits until no reservation runs, or until the time for the
@@ -63,11 +63,11 @@
 func (r *Runner) handOver(ctx context.Context, closed ebonyworks.ClosedLedger) error {
 	taken := 0
 	var failures error
-	for _, peer := range rendezvous(closed.Host, closed.Incarnation, r.Hosts.Peers()) {
+	for _, peer := range rendezvous(closed.Host, closed.Incarnation, r.settings.Hosts.Peers()) {
 		if taken == heirs || ctx.Err() != nil {
 			break
 		}
-		if err := r.Peer.HandOver(ctx, peer, closed); err != nil {
+		if err := r.settings.Peer.HandOver(ctx, peer, closed); err != nil {
 			failures = errors.Join(failures, errors.Wrapf(err, "hand over to %s", peer.ID))
 			continue
 		}
--- a/coordination/reservation/forward.go
+++ b/coordination/reservation/forward.go
@@ -23,7 +23,7 @@
 		return outcome
 	}
 	if owner, ok := r.owner(claims); ok && ctx.Err() == nil {
-		outcome, delivery := r.Peer.Reserve(ctx, owner, reservation)
+		outcome, delivery := r.settings.Peer.Reserve(ctx, owner, reservation)
 		if delivery == ebonyworks.Delivered && !unreachable(outcome) {
 			return outcome
 		}
@@ -35,7 +35,7 @@
 		return outcome
 	}
 	return r.askHeirs(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
-		return r.Peer.Reserve(ctx, peer, reservation)
+		return r.settings.Peer.Reserve(ctx, peer, reservation)
 	})
 }
 
@@ -44,7 +44,9 @@
 		return outcome
 	}
 	if owner, ok := r.owner(claims); ok {
-		outcome, delivery := r.Peer.Outcome(ctx, owner, token)
+		bounded, cancel := context.WithTimeout(ctx, ownerTime)
+		defer cancel()
+		outcome, delivery := r.settings.Peer.Outcome(bounded, owner, token)
 		if delivery == ebonyworks.Delivered && !unreachable(outcome) {
 			return outcome
 		}
@@ -53,14 +55,14 @@
 		return outcome
 	}
 	return r.askHeirs(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
-		return r.Peer.Outcome(ctx, peer, token)
+		return r.settings.Peer.Outcome(ctx, peer, token)
 	})
 }
 
 // owner returns the incarnation that the ticket names at its known address,
 // unless a later incarnation is known.
 func (r *Runner) owner(claims ebonyworks.TicketClaims) (ebonyworks.Host, bool) {
-	owner, known := r.Hosts.Host(claims.Host)
+	owner, known := r.settings.Hosts.Host(claims.Host)
 	if !known || owner.Incarnation > claims.Incarnation {
 		return ebonyworks.Host{}, false
 	}
@@ -77,7 +79,7 @@
 // peers that come first in rendezvous order. The owner isn't asked again: it
 // would get a reservation twice.
 func (r *Runner) askHeirs(ctx context.Context, claims ebonyworks.TicketClaims, ask question) ebonyworks.Outcome {
-	peers := slices.DeleteFunc(rendezvous(claims.Host, claims.Incarnation, r.Hosts.Peers()), func(peer ebonyworks.Host) bool {
+	peers := slices.DeleteFunc(rendezvous(claims.Host, claims.Incarnation, r.settings.Hosts.Peers()), func(peer ebonyworks.Host) bool {
 		return peer.ID == claims.Host && peer.Incarnation <= claims.Incarnation
 	})
 	for _, peer := range peers[:min(asked, len(peers))] {
@@ -104,14 +106,14 @@
 
 // heldOutcome answers a query from a closed ledger that this host holds.
 func (r *Runner) heldOutcome(claims ebonyworks.TicketClaims) (ebonyworks.Outcome, bool) {
-	return r.Ledger.HeldOutcome(r.Tickets.Now(), claims)
+	return r.settings.Ledger.HeldOutcome(r.settings.Tickets.Now(), claims)
 }
 
 // heldReservation answers a reservation from a closed ledger that this host
 // holds. It compares the body in the same look-up, since the ledger can arrive
 // at any moment.
 func (r *Runner) heldReservation(claims ebonyworks.TicketClaims, reservation ebonyworks.Reservation) (ebonyworks.Outcome, bool) {
-	standing, ok := r.Ledger.HeldReservation(r.Tickets.Now(), claims, bodyFingerprint(reservation))
+	standing, ok := r.settings.Ledger.HeldReservation(r.settings.Tickets.Now(), claims, bodyFingerprint(reservation))
 	if ok && standing.Position == ledger.Conflict {
 		return conflict(), true
 	}
--- a/coordination/reservation/run.go
+++ b/coordination/reservation/run.go
@@ -45,7 +45,7 @@
 // told.
 func (r *Runner) run(ctx context.Context, claims ebonyworks.TicketClaims, reservation ebonyworks.Reservation) {
 	outcome := r.execute(ctx, claims, reservation)
-	r.Ledger.Finish(claims.ID, outcome)
+	r.settings.Ledger.Finish(claims.ID, outcome)
 	if outcome.Kind == ebonyworks.OutcomeUnknown {
 		r.record(event.New(event.ReservationUnknown,
 			event.Attribute("Ticket", string(claims.ID)), event.Attribute("Code", string(outcome.Code))))
@@ -59,7 +59,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, work.deadline)
 	defer cancel()
-	admittance, refused := r.Admission.Admit(ctx, work.route, reservation.House, work.deadline)
+	admittance, refused := r.settings.Admission.Admit(ctx, work.route, reservation.House, work.deadline)
 	if refused != nil {
 		return notRun(ebonyworks.CodeOverloaded, refused.Message, refused.RetryAfter)
 	}
@@ -74,7 +74,7 @@
 		outcome := notRun(ebonyworks.CodeUnknownRoute, message, refusedRetryAfter)
 		return nil, &outcome
 	}
-	configuration := r.Configuration()
+	configuration := r.settings.Configuration()
 	if configuration == nil {
 		return missing("no configuration is in force")
 	}
@@ -116,7 +116,7 @@
 		if chosen == nil {
 			return last
 		}
-		if len(work.refusedBy) > 0 && !r.Hedging.AllowRetry(work.service.ID) {
+		if len(work.refusedBy) > 0 && !r.settings.Hedging.AllowRetry(work.service.ID) {
 			r.endTrial(work, *chosen)
 			return last
 		}
@@ -135,24 +135,24 @@
 // choose returns the next server, nil if none is left, or an outcome that
 // ends the run.
 func (r *Runner) choose(work *job) (*target, *ebonyworks.Outcome) {
-	candidates := slices.DeleteFunc(r.Servers.Candidates(work.service, work.route), func(c ebonyworks.Candidate) bool {
+	candidates := slices.DeleteFunc(r.settings.Servers.Candidates(work.service, work.route), func(c ebonyworks.Candidate) bool {
 		return slices.Contains(work.refusedBy, c.Server.ID)
 	})
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	verdict, refusal := r.Inspection.Inspect(work.fingerprint)
+	verdict, refusal := r.settings.Inspection.Inspect(work.fingerprint)
 	if verdict == ebonyworks.RunNone {
 		return nil, suspect(refusal)
 	}
 	if verdict == ebonyworks.RunOne {
-		trial, refusal := r.Inspection.Choose(work.fingerprint, []ebonyworks.ShardReplicas{replicas(work, candidates)})
+		trial, refusal := r.settings.Inspection.Choose(work.fingerprint, []ebonyworks.ShardReplicas{replicas(work, candidates)})
 		if refusal != nil {
 			return nil, suspect(refusal)
 		}
 		return &target{server: trial.Server, trial: true}, nil
 	}
-	index, ok := r.Selection.Select(candidates)
+	index, ok := r.settings.Selection.Select(candidates)
 	if !ok {
 		return nil, nil
 	}
@@ -163,11 +163,11 @@
 func (r *Runner) attempt(ctx context.Context, work *job, chosen target) (ebonyworks.Outcome, step) {
 	defer r.endTrial(work, chosen)
 	server := chosen.server
-	permit, ok := r.Quota.Acquire(ctx, work.service, server.ID)
+	permit, ok := r.settings.Quota.Acquire(ctx, work.service, server.ID)
 	if !ok {
 		return notRun(ebonyworks.CodeDeadline, "the deadline passed before anything was sent", refusedRetryAfter), finished
 	}
-	incarnation := r.Servers.Incarnation(server.ID)
+	incarnation := r.settings.Servers.Incarnation(server.ID)
 	record := ebonyworks.AttemptRecord{Service: work.service.ID, Server: server.ID, Result: ebonyworks.AttemptCancelled, Retry: len(work.refusedBy) > 0}
 	if !r.stillAllowed(work, chosen) {
 		permit.Release(record)
@@ -179,13 +179,13 @@
 		return *stop, finished
 	}
 	begin := time.Now()
-	reply := r.Backend.Reserve(ctx, work.service, server, work.sent)
+	reply := r.settings.Backend.Reserve(ctx, work.service, server, work.sent)
 	record.Latency = time.Since(begin)
 	record.Result = reply.Result
 	record.Report = reply.Report
 	permit.Release(record)
-	r.Hedging.Observe(record)
-	r.Servers.Observe(record)
+	r.settings.Hedging.Observe(record)
+	r.settings.Servers.Observe(record)
 	return r.conclude(work, server, incarnation, reply)
 }
 
@@ -193,7 +193,7 @@
 func (r *Runner) mayNotSend(work *job) *ebonyworks.Outcome {
 	var stop ebonyworks.Outcome
 	switch {
-	case !r.Tickets.Now().Before(work.claims.Expiry):
+	case !r.settings.Tickets.Now().Before(work.claims.Expiry):
 		stop = notRun(ebonyworks.CodeTicketExpired, "the ticket expired before anything was sent", refusedRetryAfter)
 	case passed(work.deadline):
 		stop = notRun(ebonyworks.CodeDeadline, "the deadline passed before anything was sent", refusedRetryAfter)
@@ -212,10 +212,10 @@
 	}
 	outcome := confirm(work.sent, reply)
 	if outcome.Kind == ebonyworks.OutcomeRan {
-		r.Inspection.Survived(work.fingerprint)
+		r.settings.Inspection.Survived(work.fingerprint)
 	}
 	if reply.Result == ebonyworks.AttemptLost {
-		r.Inspection.Died(work.fingerprint, server.ID, incarnation)
+		r.settings.Inspection.Died(work.fingerprint, server.ID, incarnation)
 	}
 	return outcome, finished
 }
@@ -224,15 +224,15 @@
 // holds; reports of other hosts can arrive while the attempt was queued.
 func (r *Runner) stillAllowed(work *job, chosen target) bool {
 	if !chosen.trial {
-		verdict, _ := r.Inspection.Inspect(work.fingerprint)
+		verdict, _ := r.settings.Inspection.Inspect(work.fingerprint)
 		return verdict == ebonyworks.RunAll
 	}
-	trials, ok := r.Inspection.(ebonyworks.TrialInspection)
+	trials, ok := r.settings.Inspection.(ebonyworks.TrialInspection)
 	return !ok || trials.StillAllowed(work.fingerprint, ebonyworks.Trial{Shard: work.sent.Shard, Server: chosen.server})
 }
 
 func (r *Runner) endTrial(work *job, chosen target) {
-	trials, ok := r.Inspection.(ebonyworks.TrialInspection)
+	trials, ok := r.settings.Inspection.(ebonyworks.TrialInspection)
 	if ok && chosen.trial {
 		trials.Ended(work.fingerprint)
 	}
--- a/coordination/reservation/runner.go
+++ b/coordination/reservation/runner.go
@@ -18,6 +18,8 @@
 	// asked is the number of peers that are asked for a closed ledger. It is
 	// larger than heirs because hosts that joined since can precede an heir.
 	asked = 3
+	// ownerTime bounds the wait for the owner's answer to a query.
+	ownerTime = 2 * time.Second
 	// askTime bounds the wait for each of them.
 	askTime = 250 * time.Millisecond
 	// refusedRetryAfter is the advice after refusals that named no time.
@@ -73,7 +75,7 @@
 // ebonyworks.PeerHandler that concerns reservations. It is safe for
 // concurrent use.
 type Runner struct {
-	Settings
+	settings Settings
 
 	mu sync.Mutex
 	// closing is set by Close; no run starts after it.
@@ -88,7 +90,7 @@
 // New returns a runner for the incarnation in the settings, which the ticket
 // office must be for too.
 func New(settings Settings) *Runner {
-	return &Runner{Settings: settings}
+	return &Runner{settings: settings}
 }
 
 // IssueTicket returns a signed token for one reservation.
@@ -100,18 +102,18 @@
 			RetryAfter: runningRetryAfter,
 		}
 	}
-	token, claims := r.Tickets.Issue()
+	token, claims := r.settings.Tickets.Issue()
 	return token, claims, nil
 }
 
 // Reserve runs the reservation if this incarnation issued the ticket, and
 // otherwise forwards it once.
 func (r *Runner) Reserve(ctx context.Context, reservation ebonyworks.Reservation) ebonyworks.Outcome {
-	claims, fault := r.Tickets.Verify(reservation.Ticket)
+	claims, fault := r.settings.Tickets.Verify(reservation.Ticket)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
 	}
-	if r.Tickets.Owns(claims) {
+	if r.settings.Tickets.Owns(claims) {
 		return r.reserveHere(ctx, claims, reservation)
 	}
 	return r.forwardReserve(ctx, claims, reservation)
@@ -120,11 +122,11 @@
 // Outcome returns the outcome for the ticket, and seals an unused one as not
 // run.
 func (r *Runner) Outcome(ctx context.Context, token string) ebonyworks.Outcome {
-	claims, fault := r.Tickets.Verify(token)
+	claims, fault := r.settings.Tickets.Verify(token)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
 	}
-	if r.Tickets.Owns(claims) {
+	if r.settings.Tickets.Owns(claims) {
 		return r.query(claims)
 	}
 	return r.forwardOutcome(ctx, claims, token)
@@ -133,11 +135,11 @@
 // HandleReserve runs a reservation that another host forwarded. It never
 // forwards further, and runs nothing for another incarnation.
 func (r *Runner) HandleReserve(ctx context.Context, to ebonyworks.Host, reservation ebonyworks.Reservation) ebonyworks.Outcome {
-	claims, fault := r.Tickets.Verify(reservation.Ticket)
+	claims, fault := r.settings.Tickets.Verify(reservation.Ticket)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
 	}
-	if r.Tickets.Owns(claims) && r.addressed(to) {
+	if r.settings.Tickets.Owns(claims) && r.addressed(to) {
 		return r.reserveHere(ctx, claims, reservation)
 	}
 	if outcome, ok := r.heldReservation(claims, reservation); ok {
@@ -148,11 +150,11 @@
 
 // HandleOutcome answers a query that another host forwarded.
 func (r *Runner) HandleOutcome(_ context.Context, to ebonyworks.Host, token string) ebonyworks.Outcome {
-	claims, fault := r.Tickets.Verify(token)
+	claims, fault := r.settings.Tickets.Verify(token)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
 	}
-	if r.Tickets.Owns(claims) && r.addressed(to) {
+	if r.settings.Tickets.Owns(claims) && r.addressed(to) {
 		return r.query(claims)
 	}
 	if outcome, ok := r.heldOutcome(claims); ok {
@@ -181,7 +183,7 @@
 	fingerprint := bodyFingerprint(reservation)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	standing := r.Ledger.Begin(r.Tickets.Now(), claims, fingerprint)
+	standing := r.settings.Ledger.Begin(r.settings.Tickets.Now(), claims, fingerprint)
 	if standing.Position == ledger.Started {
 		detached := context.WithoutCancel(ctx)
 		r.running.Go(func() { r.run(detached, claims, reservation) })
@@ -195,7 +197,7 @@
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(answerGrace))
 		defer cancel()
 	}
-	outcome, ok := r.Ledger.Wait(ctx, claims.ID)
+	outcome, ok := r.settings.Ledger.Wait(ctx, claims.ID)
 	if !ok {
 		return stillRunning()
 	}
@@ -203,7 +205,7 @@
 }
 
 func (r *Runner) query(claims ebonyworks.TicketClaims) ebonyworks.Outcome {
-	standing := r.Ledger.Query(r.Tickets.Now(), claims)
+	standing := r.settings.Ledger.Query(r.settings.Tickets.Now(), claims)
 	if standing.Position == ledger.Running {
 		return stillRunning()
 	}
@@ -211,7 +213,7 @@
 }
 
 func (r *Runner) addressed(to ebonyworks.Host) bool {
-	return to.ID == r.Host && to.Incarnation == r.Incarnation
+	return to.ID == r.settings.Host && to.Incarnation == r.settings.Incarnation
 }
 
 func (r *Runner) stopping() bool {
@@ -221,7 +223,7 @@
 }
 
 func (r *Runner) record(recorded ebonyworks.Event) {
-	if r.Recorder != nil {
-		r.Recorder.Record(recorded)
+	if r.settings.Recorder != nil {
+		r.settings.Recorder.Record(recorded)
 	}
 }
