--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # entry that starts with "Test".
 KNOWN_RED = $(shell grep -oE '^Test[A-Za-z0-9_/]*' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
-.PHONY: build test lint format check-format generate demo ci
+.PHONY: build test lint format check-format generate demo capacity ci
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,6 +27,20 @@
 	$(BUF) generate
 	cd $(PEER) && sha256sum peer.proto peer.pb.go peerv1connect/peer.connect.go > generated.sha256
 
+# Reruns the benchmarks behind docs/CAPACITY.md, package after package, and
+# writes the raw output to CAPACITY_OUTPUT. The page takes the minimum of each
+# benchmark's runs.
+CAPACITY_OUTPUT = capacity.txt
+CAPACITY_TIME = 100ms
+CAPACITY_COUNT = 5
+CAPACITY_FLEET = 100
+CAPACITY_SEARCHES = 1000
+
+capacity:
+	go test -p 1 -run '^$$' -bench . -benchtime $(CAPACITY_TIME) -count $(CAPACITY_COUNT) -timeout 60m ./coordination/... ./state/... ./protocol/... ./operator ./transport/... > $(CAPACITY_OUTPUT)
+	EBONYWORKS_TAIL=$(CAPACITY_SEARCHES) go test -count 1 -v -timeout 60m -run '^TestTailOfFanOut$$' ./coordination/search >> $(CAPACITY_OUTPUT)
+	EBONYWORKS_FLEET=$(CAPACITY_FLEET) go test -count 1 -v -timeout 60m -run '^TestPlatformCalls$$' ./coordination/bulletin >> $(CAPACITY_OUTPUT)
+
 demo: build
 	bash examples/demo
 
--- /dev/null
+++ b/coordination/inspection/benchmark_test.go
@@ -0,0 +1,39 @@
+package inspection_test
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+)
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkInspect measures the verdict that every attempt asks for, and the
+// memory per fingerprint that is known to be safe.
+func BenchmarkInspect(b *testing.B) {
+	for _, known := range []int{1000, 10_000, 60_000} {
+		b.Run("known="+strconv.Itoa(known), func(b *testing.B) {
+			before := heapBytes()
+			inspector := &inspection.Inspector{}
+			for i := range known {
+				inspector.Survived(ebonyworks.Fingerprint(i) * 0x9E3779B97F4A7C15)
+			}
+			perFingerprint := float64(heapBytes()-before) / float64(known)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				inspector.Inspect(ebonyworks.Fingerprint(i%known) * 0x9E3779B97F4A7C15)
+				i++
+			}
+			b.ReportMetric(perFingerprint, "B/fingerprint")
+		})
+	}
+}
--- /dev/null
+++ b/coordination/search/benchmark_test.go
@@ -0,0 +1,170 @@
+//go:build unix
+
+package search_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/quota"
+	"github.com/ebonyworks/ebonyworks/coordination/search"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+// benchReplicas is the number of servers of each shard at the design size
+// (2,400 servers, 350 shards).
+const benchReplicas = 7
+
+// wide is a catalogue of many shards whose servers answer at once. Its policy
+// and state are those of an entry host.
+type wide struct {
+	*world
+	register *register.Register
+	// latency draws the time that a server takes; nil means none.
+	latency func() time.Duration
+}
+
+func newWide(shards int) *wide {
+	cat := ebonyworks.Catalogue{ID: stock}
+	partition := ebonyworks.Partition{Epoch: 1}
+	for i := range shards {
+		name := fmt.Sprintf("stock-finder-%03d", i)
+		service := ebonyworks.Service{ID: ebonyworks.ServiceID(name), Slots: 64, ConnectionCap: 25}
+		for j := range benchReplicas {
+			service.Servers = append(service.Servers, ebonyworks.Server{
+				ID: ebonyworks.ServerID(name + "-" + strconv.Itoa(j)), Domain: ebonyworks.DomainID(strconv.Itoa(j % 6)),
+			})
+		}
+		cat.Services = append(cat.Services, service)
+		keys := ebonyworks.KeyRange{From: key(i), To: key(i + 1)}
+		if i == shards-1 {
+			keys.To = ""
+		}
+		partition.Shards = append(partition.Shards, ebonyworks.Shard{ID: ebonyworks.ShardID(name), Service: service.ID, Keys: keys})
+	}
+	cat.Partitions = []ebonyworks.Partition{partition}
+	w := &wide{world: newWorld(1), register: &register.Register{Random: rand.New(rand.NewPCG(1, 2))}}
+	w.configuration.Catalogues[0] = cat
+	w.reportAll(snapshot(3, 1), snapshot(4, 1))
+	for _, service := range cat.Services {
+		for _, server := range service.Servers {
+			w.register.Observe(ebonyworks.AttemptRecord{
+				Service: service.ID, Server: server.ID, Result: ebonyworks.AttemptServed, Latency: time.Millisecond,
+				Report: ebonyworks.ServerReport{Server: server.ID, Incarnation: 1},
+			})
+		}
+	}
+	return w
+}
+
+// coordinator returns one with the policies of an entry host.
+func (w *wide) coordinator(budget ebonyworks.Hedging) *search.Coordinator {
+	table := quota.New(1)
+	return &search.Coordinator{
+		Backend:    w,
+		Editions:   w.world,
+		Directory:  registered{register: w.register, quota: table},
+		Catalogue:  &w.catalogue,
+		Selection:  selection.New(rand.New(rand.NewPCG(1, 3))),
+		Hedging:    budget,
+		Quota:      table,
+		Inspection: &inspection.Inspector{},
+		Admission:  w.world,
+	}
+}
+
+func (w *wide) Search(ctx context.Context, _ *ebonyworks.Service, server ebonyworks.Server, sub ebonyworks.SubSearch) ebonyworks.SubAnswer {
+	if w.latency != nil {
+		timer := time.NewTimer(w.latency())
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ebonyworks.SubAnswer{Result: ebonyworks.AttemptCancelled}
+		}
+	}
+	return ebonyworks.SubAnswer{
+		Result: ebonyworks.AttemptServed, Request: sub.Request, Snapshot: sub.Snapshot, Shard: sub.Shard,
+		Report: ebonyworks.ServerReport{Server: server.ID, Incarnation: 1, Snapshots: held},
+	}
+}
+
+var held = []ebonyworks.Snapshot{{Number: 3, Epoch: 1}, {Number: 4, Epoch: 1}}
+
+// registered is the directory of an entry host.
+type registered struct {
+	register *register.Register
+	quota    ebonyworks.Quota
+}
+
+func (r registered) Candidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
+	return r.register.Candidates(service, route, "1", r.quota)
+}
+
+func (r registered) Observe(record ebonyworks.AttemptRecord) { r.register.Observe(record) }
+
+// BenchmarkCoordinator measures whole searches with the policies of an entry
+// host, without transport: planning, fan-out, decisions and sealing. The
+// processor time is that of all goroutines and of the garbage collector.
+func BenchmarkCoordinator(b *testing.B) {
+	for _, shards := range []int{20, 100, 350} {
+		b.Run("shards="+strconv.Itoa(shards), func(b *testing.B) {
+			w := newWide(shards)
+			coordinator := w.coordinator(&hedging.Budget{})
+			request := ebonyworks.Search{Request: "r1", Route: routeID, House: "h"}
+			b.ReportAllocs()
+			before := processorTime(b)
+			for b.Loop() {
+				request.Deadline = time.Now().Add(time.Minute)
+				outcome := coordinator.Search(b.Context(), request)
+				if len(outcome.Answer.Coverage.Covered) != shards {
+					b.Fatal("not covered")
+				}
+			}
+			used := processorTime(b) - before
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N*shards), "cpu-ns/sub")
+		})
+	}
+}
+
+// BenchmarkUnknown measures what a query costs when its fingerprint isn't
+// known to be safe, so that it is tried on one server first.
+func BenchmarkUnknown(b *testing.B) {
+	for _, shards := range []int{20, 100, 350} {
+		b.Run("shards="+strconv.Itoa(shards), func(b *testing.B) {
+			coordinator := newWide(shards).coordinator(&hedging.Budget{})
+			request := ebonyworks.Search{Request: "r1", Route: routeID, House: "h"}
+			b.ReportAllocs()
+			before := processorTime(b)
+			number := 0
+			for b.Loop() {
+				number++
+				request.Filters = []ebonyworks.Field{{Name: "Shade", Value: strconv.Itoa(number)}}
+				request.Deadline = time.Now().Add(time.Minute)
+				coordinator.Search(b.Context(), request)
+			}
+			used := processorTime(b) - before
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/operator/benchmark_test.go
@@ -0,0 +1,65 @@
+package operator_test
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/operator"
+	"github.com/ebonyworks/ebonyworks/protocol/notice"
+)
+
+// BenchmarkConfiguration measures what a host does with a published
+// configuration of one catalogue: decoding and validation, the size of the
+// largest value, and the memory of the accepted configuration.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, servers := range []int{300, 1200, 2400} {
+		b.Run("servers="+strconv.Itoa(servers), func(b *testing.B) {
+			plan := &operator.Plan{}
+			plan.Catalogue(operator.CatalogueSpec{
+				ID: "stock-finder", Services: servers / 6, ServersPerService: 6, Slots: 2, ConnectionCap: 25,
+				ConnectTime: 6 * time.Millisecond, Domains: []ebonyworks.DomainID{"d1", "d2", "d3", "d4", "d5", "d6"},
+			})
+			plan.Route(ebonyworks.Route{ID: "search-hair", Catalogue: "stock-finder", DefaultDeadline: time.Second, MaxDeadline: time.Second})
+			publication, problems := plan.Publish(7, ebonyworks.Mark{Revision: 6})
+			require.Empty(b, problems)
+			largest, total := 0, 0
+			for _, value := range publication.Values() {
+				largest = max(largest, len(value.Bytes))
+				total += len(value.Bytes)
+			}
+			before := heapBytes()
+			held := assemble(b, publication)
+			memory := float64(heapBytes() - before)
+			b.ReportAllocs()
+			for b.Loop() {
+				assemble(b, publication)
+			}
+			b.ReportMetric(float64(largest), "largest-B")
+			b.ReportMetric(float64(total), "total-B")
+			b.ReportMetric(float64(largest)/float64(servers), "wire-B/server")
+			b.ReportMetric(memory/float64(servers), "heap-B/server")
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+func assemble(b *testing.B, publication notice.Publication) *ebonyworks.Configuration {
+	b.Helper()
+	configuration, problems := notice.Codec{}.Assemble(publication.Mark(), publication.Head, publication.Parts)
+	if len(problems) > 0 {
+		b.Fatal(problems)
+	}
+	return configuration
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/protocol/shelfmark/benchmark_test.go
@@ -0,0 +1,66 @@
+package shelfmark_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/protocol/shelfmark"
+)
+
+// benchRows returns rows with four fields each, as the stand-in has them.
+func benchRows(count int) []ebonyworks.Row {
+	var rows []ebonyworks.Row
+	for i := range count {
+		rows = append(rows, ebonyworks.Row{Key: fmt.Sprintf("b%05d", i), Fields: []ebonyworks.Field{
+			{Name: "Length", Value: "45"}, {Name: "Shade", Value: "7N"}, {Name: "Snapshot", Value: "5"}, {Name: "Stock", Value: "3"},
+		}})
+	}
+	return rows
+}
+
+// BenchmarkAnswer measures the encoding and decoding of replies by rows.
+func BenchmarkAnswer(b *testing.B) {
+	var codec shelfmark.Codec
+	for _, rows := range []int{0, 1, 10, 100} {
+		full := answer
+		full.Rows = benchRows(rows)
+		reply := codec.EncodeAnswer(full, "")
+		b.Run("Decode/rows="+strconv.Itoa(rows), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if codec.DecodeAnswer(reply, search, server).Result != ebonyworks.AttemptServed {
+					b.Fatal("not served")
+				}
+			}
+			b.ReportMetric(float64(len(reply.Body)), "body-B")
+		})
+		b.Run("Encode/rows="+strconv.Itoa(rows), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				codec.EncodeAnswer(full, "")
+			}
+		})
+	}
+}
+
+// BenchmarkEncodeSearch measures the request of one sub-search by filters.
+func BenchmarkEncodeSearch(b *testing.B) {
+	var codec shelfmark.Codec
+	for _, filters := range []int{0, 2, 8} {
+		b.Run("filters="+strconv.Itoa(filters), func(b *testing.B) {
+			request := shelfmark.SearchRequest{Search: search, Remaining: time.Second}
+			request.Search.Filters = nil
+			for i := range filters {
+				request.Search.Filters = append(request.Search.Filters, ebonyworks.Field{Name: "Field" + strconv.Itoa(i), Value: "7N"})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				codec.EncodeSearch(request)
+			}
+			b.ReportMetric(float64(len(codec.EncodeSearch(request))), "body-B")
+		})
+	}
+}
--- /dev/null
+++ b/transport/stockroom/benchmark_test.go
@@ -0,0 +1,190 @@
+//go:build unix
+
+package stockroom_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/transport/stockroom"
+)
+
+// serveVariable makes the test binary a backend server with the given number
+// of rows in each reply, until its standard input ends.
+const serveVariable = "EBONYWORKS_BENCHMARK_SERVER"
+
+// TestBenchmarkServer is the server side of the benchmarks. It runs in a
+// process of its own, so that the processor time of the client is known.
+func TestBenchmarkServer(t *testing.T) {
+	text, found := os.LookupEnv(serveVariable)
+	if !found {
+		t.Skip("runs only as the server of a benchmark")
+	}
+	rows, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Protocols: protocols, Handler: benchmarkHandler(rows)}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	fmt.Println(listener.Addr())
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	require.NoError(t, server.Close())
+	<-done
+}
+
+// benchmarkHandler answers for the server that the shard is named after.
+func benchmarkHandler(rows int) http.Handler {
+	template := ebonyworks.SubAnswer{Result: ebonyworks.AttemptServed}
+	for i := range rows {
+		template.Rows = append(template.Rows, ebonyworks.Row{Key: fmt.Sprintf("b%05d", i), Fields: []ebonyworks.Field{
+			{Name: "Length", Value: "45"}, {Name: "Shade", Value: "7N"}, {Name: "Snapshot", Value: "5"}, {Name: "Stock", Value: "3"},
+		}})
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		request, err := codec.DecodeSearch(body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		answer, sent := template, request.Search
+		answer.Request, answer.Snapshot, answer.Shard = sent.Request, sent.Snapshot, sent.Shard
+		answer.Report = ebonyworks.ServerReport{
+			Server: ebonyworks.ServerID(sent.Shard), Incarnation: 1, Snapshots: []ebonyworks.Snapshot{sent.Snapshot},
+		}
+		_, _ = w.Write(codec.EncodeAnswer(answer, "").Body)
+	})
+}
+
+// startServer starts the server process and returns its address.
+func startServer(b *testing.B, rows int) netip.AddrPort {
+	b.Helper()
+	command := exec.Command(os.Args[0], "-test.run=^TestBenchmarkServer$")
+	command.Env = append(os.Environ(), serveVariable+"="+strconv.Itoa(rows))
+	input, err := command.StdinPipe()
+	require.NoError(b, err)
+	output, err := command.StdoutPipe()
+	require.NoError(b, err)
+	require.NoError(b, command.Start())
+	lines := bufio.NewScanner(output)
+	require.True(b, lines.Scan())
+	address, err := netip.ParseAddrPort(strings.TrimSpace(lines.Text()))
+	require.NoError(b, err)
+	b.Cleanup(func() {
+		_ = input.Close()
+		_, _ = io.Copy(io.Discard, output)
+		_ = command.Wait()
+	})
+	return address
+}
+
+// BenchmarkFanOut measures sub-searches over loopback: one to each server at
+// the same time, with a connection for each server. The times are those of the
+// client process alone.
+func BenchmarkFanOut(b *testing.B) {
+	for _, servers := range []int{20, 100, 350} {
+		for _, rows := range []int{1, 10, 100} {
+			b.Run(fmt.Sprintf("servers=%d/rows=%d", servers, rows), func(b *testing.B) {
+				benchmarkFanOut(b, servers, rows)
+			})
+		}
+	}
+}
+
+func benchmarkFanOut(b *testing.B, servers, rows int) {
+	address := startServer(b, rows)
+	client := stockroom.NewClient(stockroom.Options{})
+	defer client.Close()
+	targets := make([]ebonyworks.Server, servers)
+	for i := range targets {
+		targets[i] = ebonyworks.Server{ID: ebonyworks.ServerID("server-" + strconv.Itoa(i)), Address: address}
+	}
+	heap := heapBytes()
+	for _, target := range targets {
+		sendTo(b, client, target)
+	}
+	perConnection := float64(heapBytes()-heap) / float64(servers)
+	b.ReportAllocs()
+	before := processorTime(b)
+	for b.Loop() {
+		var sending sync.WaitGroup
+		for _, target := range targets {
+			sending.Go(func() { sendTo(b, client, target) })
+		}
+		sending.Wait()
+	}
+	used := processorTime(b) - before
+	b.ReportMetric(float64(used.Nanoseconds())/float64(b.N*servers), "cpu-ns/sub")
+	b.ReportMetric(perConnection, "heap-B/conn")
+}
+
+// BenchmarkShared measures sub-searches over loopback when several of them
+// share one connection, as they would between a host and an owner without
+// batches. With one row in each reply they differ from BenchmarkFanOut only by
+// the number of connections.
+func BenchmarkShared(b *testing.B) {
+	for _, streams := range []int{1, 20, 100} {
+		b.Run("streams="+strconv.Itoa(streams), func(b *testing.B) {
+			client := stockroom.NewClient(stockroom.Options{})
+			defer client.Close()
+			target := ebonyworks.Server{ID: "a", Address: startServer(b, 1)}
+			sendTo(b, client, target)
+			b.ReportAllocs()
+			before := processorTime(b)
+			for b.Loop() {
+				var sending sync.WaitGroup
+				for range streams {
+					sending.Go(func() { sendTo(b, client, target) })
+				}
+				sending.Wait()
+			}
+			used := processorTime(b) - before
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N*streams), "cpu-ns/sub")
+		})
+	}
+}
+
+func sendTo(b *testing.B, client *stockroom.Client, target ebonyworks.Server) {
+	ctx, cancel := context.WithTimeout(b.Context(), 30*time.Second)
+	defer cancel()
+	sub := search
+	sub.Shard = ebonyworks.ShardID(target.ID)
+	if got := client.Search(ctx, service, target, sub).Result; got != ebonyworks.AttemptServed {
+		b.Errorf("result %d", got)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
