Allocate less for each sub-search and look services up in a map

BenchmarkCoordinator at 350 shards showed that a quarter of all bytes were the buffers of the channel on which each shard collects its attempts: room for one large value for each server, of which one is used. The channel now holds pointers. Planning compared the service of each shard with all services, which grows with the square of the shards; it now uses a map.

--- a/coordination/search/plan.go
+++ b/coordination/search/plan.go
@@ -96,17 +96,23 @@
 	all []ebonyworks.ServerID
 	// byService holds the usable servers in the order of the catalogue's services.
 	byService [][]ebonyworks.ServerID
+	// index holds the places of the needed services in that order.
+	index map[ebonyworks.ServiceID]int
 }
 
 // usableServers leaves out services that hold none of the searched keys in any
 // partition.
 func (c *Coordinator) usableServers(cat *ebonyworks.Catalogue, request request) serversInUse {
-	usable := serversInUse{byService: make([][]ebonyworks.ServerID, len(cat.Services))}
 	needed := neededServices(cat, request.search.Keys)
+	usable := serversInUse{
+		byService: make([][]ebonyworks.ServerID, len(cat.Services)),
+		index:     make(map[ebonyworks.ServiceID]int, len(needed)),
+	}
 	for i := range cat.Services {
 		if !needed[cat.Services[i].ID] {
 			continue
 		}
+		usable.index[cat.Services[i].ID] = i
 		for _, candidate := range c.Directory.Candidates(&cat.Services[i], request.route) {
 			usable.byService[i] = append(usable.byService[i], candidate.Server.ID)
 			usable.all = append(usable.all, candidate.Server.ID)
@@ -132,8 +138,8 @@
 	}
 	result := plan{snapshot: snapshot, redundant: true}
 	for _, shard := range partition.Overlapping(keys) {
-		index := slices.IndexFunc(cat.Services, func(service ebonyworks.Service) bool { return service.ID == shard.Service })
-		if index < 0 {
+		index, ok := usable.index[shard.Service]
+		if !ok {
 			return plan{}, false
 		}
 		holders := c.holders(usable.byService[index], snapshot)
--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -15,9 +15,11 @@
 
 // shardRun collects the attempts at one shard.
 type shardRun struct {
-	run     *run
-	shard   shardPlan
-	results chan attemptEnd
+	run   *run
+	shard shardPlan
+	// results has room for one element of each server. The elements are
+	// pointers, since most of that room stays empty.
+	results chan *attemptEnd
 	// asked are the servers that got an attempt, in order.
 	asked    []ebonyworks.ServerID
 	inFlight int
@@ -39,7 +41,7 @@
 	s := &shardRun{
 		run:     r,
 		shard:   shard,
-		results: make(chan attemptEnd, len(shard.service.Servers)+1),
+		results: make(chan *attemptEnd, len(shard.service.Servers)+1),
 		reason:  ebonyworks.MissNoServer,
 	}
 	defer s.ended()
@@ -144,7 +146,7 @@
 	}
 	go func() {
 		result, record := attempt.do(ctx)
-		s.results <- attemptEnd{result: result, record: record}
+		s.results <- &attemptEnd{result: result, record: record}
 	}()
 	return true
 }
