--- a/transport/stockroom/benchmark_test.go
+++ b/transport/stockroom/benchmark_test.go
@@ -47,9 +47,12 @@
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	fmt.Println(listener.Addr())
-	_, _ = io.Copy(io.Discard, os.Stdin)
+	// Each line asks for the processor time that this process has used.
+	for lines := bufio.NewScanner(os.Stdin); lines.Scan(); {
+		fmt.Println(processorTime(t).Nanoseconds())
+	}
 	require.NoError(t, server.Close())
-	<-done
+	require.ErrorIs(t, <-done, http.ErrServerClosed)
 }
 
 // benchmarkHandler answers for the server that the shard is named after.
@@ -76,8 +79,14 @@
 	})
 }
 
-// startServer starts the server process and returns its address.
-func startServer(b *testing.B, rows int) netip.AddrPort {
+// serverProcess is a backend server in a process of its own.
+type serverProcess struct {
+	address netip.AddrPort
+	input   io.WriteCloser
+	lines   *bufio.Scanner
+}
+
+func startServer(b *testing.B, rows int) serverProcess {
 	b.Helper()
 	command := exec.Command(os.Args[0], "-test.run=^TestBenchmarkServer$")
 	command.Env = append(os.Environ(), serveVariable+"="+strconv.Itoa(rows))
@@ -86,21 +95,36 @@
 	output, err := command.StdoutPipe()
 	require.NoError(b, err)
 	require.NoError(b, command.Start())
-	lines := bufio.NewScanner(output)
-	require.True(b, lines.Scan())
-	address, err := netip.ParseAddrPort(strings.TrimSpace(lines.Text()))
-	require.NoError(b, err)
 	b.Cleanup(func() {
 		_ = input.Close()
 		_, _ = io.Copy(io.Discard, output)
 		_ = command.Wait()
 	})
-	return address
+	process := serverProcess{input: input, lines: bufio.NewScanner(output)}
+	process.address, err = netip.ParseAddrPort(process.line(b))
+	require.NoError(b, err)
+	return process
+}
+
+func (p serverProcess) line(b *testing.B) string {
+	b.Helper()
+	require.True(b, p.lines.Scan())
+	return strings.TrimSpace(p.lines.Text())
+}
+
+// processorTime returns the processor time that the server has used.
+func (p serverProcess) processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	_, err := fmt.Fprintln(p.input)
+	require.NoError(b, err)
+	used, err := strconv.ParseInt(p.line(b), 10, 64)
+	require.NoError(b, err)
+	return time.Duration(used)
 }
 
 // BenchmarkFanOut measures sub-searches over loopback: one to each server at
-// the same time, with a connection for each server. The times are those of the
-// client process alone.
+// the same time, with a connection for each server. cpu-ns/sub is the time of
+// the client process alone, server-ns/sub that of the server process.
 func BenchmarkFanOut(b *testing.B) {
 	for _, servers := range []int{20, 100, 350} {
 		for _, rows := range []int{1, 10, 100} {
@@ -112,12 +136,12 @@
 }
 
 func benchmarkFanOut(b *testing.B, servers, rows int) {
-	address := startServer(b, rows)
+	process := startServer(b, rows)
 	client := stockroom.NewClient(stockroom.Options{})
 	defer client.Close()
 	targets := make([]ebonyworks.Server, servers)
 	for i := range targets {
-		targets[i] = ebonyworks.Server{ID: ebonyworks.ServerID("server-" + strconv.Itoa(i)), Address: address}
+		targets[i] = ebonyworks.Server{ID: ebonyworks.ServerID("server-" + strconv.Itoa(i)), Address: process.address}
 	}
 	heap := heapBytes()
 	for _, target := range targets {
@@ -125,6 +149,7 @@
 	}
 	perConnection := float64(heapBytes()-heap) / float64(servers)
 	b.ReportAllocs()
+	serverBefore := process.processorTime(b)
 	before := processorTime(b)
 	for b.Loop() {
 		var sending sync.WaitGroup
@@ -134,7 +159,9 @@
 		sending.Wait()
 	}
 	used := processorTime(b) - before
+	serverUsed := process.processorTime(b) - serverBefore
 	b.ReportMetric(float64(used.Nanoseconds())/float64(b.N*servers), "cpu-ns/sub")
+	b.ReportMetric(float64(serverUsed.Nanoseconds())/float64(b.N*servers), "server-ns/sub")
 	b.ReportMetric(perConnection, "heap-B/conn")
 }
 
@@ -147,7 +174,7 @@
 		b.Run("streams="+strconv.Itoa(streams), func(b *testing.B) {
 			client := stockroom.NewClient(stockroom.Options{})
 			defer client.Close()
-			target := ebonyworks.Server{ID: "a", Address: startServer(b, 1)}
+			target := ebonyworks.Server{ID: "a", Address: startServer(b, 1).address}
 			sendTo(b, client, target)
 			b.ReportAllocs()
 			before := processorTime(b)
@@ -182,7 +209,7 @@
 }
 
 // processorTime returns the processor time that the process has used.
-func processorTime(b *testing.B) time.Duration {
+func processorTime(b testing.TB) time.Duration {
 	b.Helper()
 	var usage syscall.Rusage
 	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
