--- a/operator/benchmark_test.go
+++ b/operator/benchmark_test.go
@@ -1,6 +1,8 @@
 package operator_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"runtime"
 	"strconv"
 	"testing"
@@ -27,10 +29,11 @@
 			plan.Route(ebonyworks.Route{ID: "search-hair", Catalogue: "stock-finder", DefaultDeadline: time.Second, MaxDeadline: time.Second})
 			publication, problems := plan.Publish(7, ebonyworks.Mark{Revision: 6})
 			require.Empty(b, problems)
-			largest, total := 0, 0
+			largest, total, compressed := 0, 0, 0
 			for _, value := range publication.Values() {
 				largest = max(largest, len(value.Bytes))
 				total += len(value.Bytes)
+				compressed += compressedBytes(b, value.Bytes)
 			}
 			before := heapBytes()
 			held := assemble(b, publication)
@@ -41,6 +44,7 @@
 			}
 			b.ReportMetric(float64(largest), "largest-B")
 			b.ReportMetric(float64(total), "total-B")
+			b.ReportMetric(float64(compressed), "gzip-B")
 			b.ReportMetric(float64(largest)/float64(servers), "wire-B/server")
 			b.ReportMetric(memory/float64(servers), "heap-B/server")
 			runtime.KeepAlive(held)
@@ -57,6 +61,17 @@
 	return configuration
 }
 
+// compressedBytes is the size in which peers pass the bytes on.
+func compressedBytes(b *testing.B, document []byte) int {
+	b.Helper()
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	_, err := writer.Write(document)
+	require.NoError(b, err)
+	require.NoError(b, writer.Close())
+	return buffer.Len()
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
