--- a/state/ledger/ledger_test.go
+++ b/state/ledger/ledger_test.go
@@ -208,8 +208,14 @@
 	assert.Less(t, bytes, int64(1000))
 }
 
+// BenchmarkRecordMemory measures the memory of final records with a small result.
 func BenchmarkRecordMemory(b *testing.B) {
-	const count = 50_000
+	for _, count := range []int{1000, 10_000, 50_000} {
+		b.Run(fmt.Sprintf("records=%d", count), func(b *testing.B) { benchmarkRecordMemory(b, count) })
+	}
+}
+
+func benchmarkRecordMemory(b *testing.B, count int) {
 	for b.Loop() {
 		var before, after runtime.MemStats
 		runtime.GC()
@@ -225,8 +231,8 @@
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		_, charged := book.Size()
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "heap-B/record")
-		b.ReportMetric(float64(charged)/count, "charged-B/record")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(count), "heap-B/record")
+		b.ReportMetric(float64(charged)/float64(count), "charged-B/record")
 		runtime.KeepAlive(book)
 	}
 }
