Carry the bound of a closed ledger's completeness between hosts

Cause: ClosedLedger.CompleteAfter was added after the codec, which dropped it, so heirs answered Unknown for unused tickets of a stopped host. It travels as an absolute time: it is compared with the expiry of tickets, which the same clock has set, and a relative time would move with the heir's clock and could turn into a false NotRun. The round-trip test failed before; the planned-stop test now asks for an unused ticket over real connections. The host sends crash reports through inspection.Reporter instead of its own copy of the same logic.

--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -63,11 +63,11 @@
 	return s
 }
 
-// freePorts returns the first port of a range that this test process may use.
+// freePorts returns the first port of a range below the ephemeral ports.
 // Each run takes its own range, so that parallel runs don't meet.
 func freePorts(t *testing.T) uint16 {
 	for attempt := range 50 {
-		first := 30000 + (os.Getpid()*7+attempt)%40*128
+		first := 15000 + (os.Getpid()*7+attempt)%40*128
 		if portsFree(first) {
 			return uint16(first)
 		}
@@ -241,9 +241,16 @@
 		})
 	}
 	time.Sleep(loadTime / 4)
+	unused, refusal, err := b.clients[0].Ticket(ctx)
+	require.NoError(t, err)
+	require.Nil(t, refusal)
 	s.cancels[0]()
 	require.NoError(t, <-s.ended[0])
 	s.ended[0] = nil
+	// The host has stopped, so its ticket can't have been used.
+	outcome, err := b.clients[1].Outcome(ctx, unused)
+	require.NoError(t, err)
+	assert.Equal(t, ebonyworks.OutcomeNotRun, outcome.Kind)
 	background.Wait()
 	t.Logf("searches %d, partial %d, refused %d, reservations %d, not run %d, unknown %d, broken %d",
 		counts.searches.Load(), counts.partial.Load(), counts.refused.Load(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,8 +72,9 @@
 	// reservable is the configuration in force without partitions that no server
 	// has reported yet.
 	reservable atomic.Pointer[ebonyworks.Configuration]
-	// reports bounds the crash reports that are being sent.
-	reports chan struct{}
+	// reporter tells peers of crashes without waiting for the next exchange: the
+	// caller of the request may send it to another host at once.
+	reporter *inspection.Reporter
 	// started is when Run was called, in nanoseconds since the epoch.
 	started  atomic.Int64
 	stopping atomic.Bool
@@ -89,7 +90,6 @@
 		edition:   &edition.Edition{},
 		catalogue: &catalogue.Catalogue{},
 		quota:     quota.New(1),
-		reports:   make(chan struct{}, maxReports),
 	}
 	office, err := ticket.NewOffice(options.Self.ID, options.Self.Incarnation, options.Keys, h.random(officeStream))
 	if err != nil {
@@ -98,7 +98,6 @@
 	h.office = office
 	h.register = &register.Register{Random: h.random(registerStream), Recorder: options.Recorder}
 	h.policy = newPolicy(options.Policy, h.random(selectionStream))
-	h.inspector = &inspection.Inspector{Publish: h.publishCrashes, Recorder: options.Recorder}
 	h.assembleMembership()
 	h.assembleWork()
 	return h, nil
@@ -145,6 +144,8 @@
 		Hasten:   h.guild.Hasten,
 		Recorder: h.options.Recorder,
 	})
+	h.reporter = inspection.NewReporter(h.options.Peer, h.guild.Alive)
+	h.inspector = &inspection.Inspector{Publish: h.reporter.Publish, Recorder: h.options.Recorder}
 	h.guild.Attach(h.bulletin)
 	h.guild.Attach(h.departures)
 	h.guild.Attach(guild.CrashCarrier{Book: crashBook{h.inspector}})
@@ -191,7 +192,7 @@
 // work has stopped. Call Stop before the context ends for a planned stop.
 func (h *Host) Run(ctx context.Context) {
 	h.started.Store(time.Now().UnixNano())
-	for _, loop := range []func(context.Context){h.guild.Run, h.bulletin.Run, h.askServers, h.followConfiguration} {
+	for _, loop := range []func(context.Context){h.guild.Run, h.bulletin.Run, h.reporter.Run, h.askServers, h.followConfiguration} {
 		h.background.Add(1)
 		go func() {
 			defer h.background.Done()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,14 +9,6 @@
 	"github.com/ebonyworks/ebonyworks/coordination/inspection"
 )
 
-const (
-	// maxReports bounds the crash reports that are sent at a time. Exchanges
-	// carry those that are left out.
-	maxReports = 32
-	// reportTimeout bounds the sending of crash reports to one host.
-	reportTimeout = 500 * time.Millisecond
-)
-
 var _ ebonyworks.PeerHandler = (*Host)(nil)
 
 // HandleExchange answers the probe of another host.
@@ -60,27 +52,6 @@
 	return nil
 }
 
-// publishCrashes sends crash reports to all peers without waiting for the next
-// exchange: the caller of the request may send it to another host at once.
-func (h *Host) publishCrashes(reports []ebonyworks.CrashReport) {
-	for _, peer := range h.guild.Alive() {
-		select {
-		case h.reports <- struct{}{}:
-		default:
-			return
-		}
-		h.background.Add(1)
-		go func() {
-			defer h.background.Done()
-			defer func() { <-h.reports }()
-			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-			defer cancel()
-			// A peer that can't be reached learns it from an exchange later.
-			_ = h.options.Peer.Report(ctx, peer.Address, reports)
-		}()
-	}
-}
-
 // crashBook gives the reports of the inspection to exchanges.
 type crashBook struct {
 	inspector *inspection.Inspector
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -131,12 +131,21 @@
 	require.NoError(t, err)
 	assert.Equal(t, ebonyworks.OutcomeUnknown, returned.Kind)
 
-	ledger := ebonyworks.ClosedLedger{Host: "entry-1", Incarnation: 5, Records: []ebonyworks.LedgerRecord{
+	complete := time.Unix(1000, 5)
+	ledger := ebonyworks.ClosedLedger{Host: "entry-1", Incarnation: 5, CompleteAfter: complete, Records: []ebonyworks.LedgerRecord{
 		{Ticket: "t", Fingerprint: 6, Outcome: outcome, Expiry: now.Add(-time.Minute)},
 	}}
 	closed, err := dispatch.DecodeLedger(dispatch.EncodeLedger(ledger, now), now)
 	require.NoError(t, err)
 	assert.Equal(t, ledger, closed)
+	// The heir's clock must not change what the absence of a record means.
+	closed, err = dispatch.DecodeLedger(dispatch.EncodeLedger(ledger, now), now.Add(-time.Hour))
+	require.NoError(t, err)
+	assert.Equal(t, complete, closed.CompleteAfter)
+	ledger.CompleteAfter = time.Time{}
+	closed, err = dispatch.DecodeLedger(dispatch.EncodeLedger(ledger, now), now)
+	require.NoError(t, err)
+	assert.True(t, closed.CompleteAfter.IsZero())
 }
 
 // Guards against bytes from the network that stop the process.
--- a/protocol/dispatch/reservation.go
+++ b/protocol/dispatch/reservation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/ebonyworks/ebonyworks"
 	peerv1 "github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1"
@@ -80,6 +81,9 @@
 // EncodeLedger returns the wire form of a closed ledger.
 func EncodeLedger(ledger ebonyworks.ClosedLedger, now time.Time) *peerv1.HandOverRequest {
 	wire := &peerv1.HandOverRequest{Host: string(ledger.Host), Incarnation: uint64(ledger.Incarnation)}
+	if !ledger.CompleteAfter.IsZero() {
+		wire.CompleteAfterUnixNanoseconds = proto.Uint64(uint64(ledger.CompleteAfter.UnixNano()))
+	}
 	for _, record := range ledger.Records {
 		wire.Records = append(wire.Records, &peerv1.LedgerRecord{
 			Ticket:                string(record.Ticket),
@@ -100,6 +104,9 @@
 		Host:        ebonyworks.HostID(wire.GetHost()),
 		Incarnation: ebonyworks.Incarnation(wire.GetIncarnation()),
 	}
+	if wire.CompleteAfterUnixNanoseconds != nil {
+		ledger.CompleteAfter = time.Unix(0, int64(wire.GetCompleteAfterUnixNanoseconds()))
+	}
 	for _, record := range wire.GetRecords() {
 		outcome, err := DecodeOutcome(record.GetOutcome())
 		if err != nil {
