Refresh a host as soon as a peer contacts it

The likely reason is that a host that knows only itself as a seed and can't read the host list waited for its own backoff of up to 2.6 s after peers had found it. A message of a peer now makes it try at once.

Also tests membership over real connections.

--- a/coordination/guild/exchange.go
+++ b/coordination/guild/exchange.go
@@ -33,6 +33,7 @@
 func (g *Guild) HandleExchange(_ context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
 	g.checkPause(time.Now())
 	g.absorb(message, time.Time{})
+	g.contacted()
 	return g.compose(message.From.ID, message.Full), nil
 }
 
--- a/coordination/guild/guild.go
+++ b/coordination/guild/guild.go
@@ -256,7 +256,11 @@
 }
 
 // sleep waits, or returns false if the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
+func sleep(ctx context.Context, d time.Duration) bool { return sleepOr(ctx, d, nil) }
+
+// sleepOr waits for the time or the signal, or returns false if the context
+// ended.
+func sleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -264,6 +268,8 @@
 		return false
 	case <-timer.C:
 		return true
+	case <-wake:
+		return true
 	}
 }
 
--- a/coordination/guild/refresh.go
+++ b/coordination/guild/refresh.go
@@ -65,6 +65,15 @@
 	return true
 }
 
+// contacted makes a host that isn't fresh try again: the sender can be asked.
+func (g *Guild) contacted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.refreshed {
+		signal(g.refreshWake)
+	}
+}
+
 func (g *Guild) since() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -85,7 +94,7 @@
 	for {
 		wait := refreshFirst
 		for !g.tryRefresh(ctx) {
-			if !sleep(ctx, g.jitter(wait, 0.3)) {
+			if !sleepOr(ctx, g.jitter(wait, 0.3), g.refreshWake) {
 				return
 			}
 			wait = min(2*wait, refreshLast)
--- /dev/null
+++ b/transport/courier/fleet_test.go
@@ -0,0 +1,102 @@
+package courier_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+	"github.com/ebonyworks/ebonyworks/coordination/guild"
+	"github.com/ebonyworks/ebonyworks/transport/courier"
+)
+
+// unavailable is a platform that never answers.
+type unavailable struct{ ebonyworks.Platform }
+
+func (unavailable) Hosts(context.Context) ([]ebonyworks.ListedHost, error) {
+	return nil, errors.New("unavailable")
+}
+
+// memberHandler serves the membership of one host.
+type memberHandler struct {
+	recordingHandler
+	guild *guild.Guild
+}
+
+func (h *memberHandler) HandleExchange(ctx context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
+	return h.guild.HandleExchange(ctx, message)
+}
+
+func (h *memberHandler) HandleRelay(ctx context.Context, target netip.AddrPort) (bool, error) {
+	return h.guild.HandleRelay(ctx, target)
+}
+
+// Guards against a membership that works with the fakes only: hosts on real
+// connections must find each other through one seed, spread a departure, and
+// notice that a member left and that another one crashed.
+func TestGuildsOverSockets(t *testing.T) {
+	const size = 5
+	guilds, trackers := make([]*guild.Guild, size), make([]*departure.Tracker, size)
+	stops := make([]func(), size)
+	var seed netip.AddrPort
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := netip.MustParseAddrPort(listener.Addr().String())
+		if i == 0 {
+			seed = address
+		}
+		c := client(t)
+		guilds[i] = guild.New(guild.Config{
+			Self:  ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprintf("entry-%d", i)), Incarnation: 1, Address: address},
+			Seeds: []netip.AddrPort{seed}, Peer: c, Platform: unavailable{}, Random: rand.New(rand.NewPCG(1, uint64(i))),
+		})
+		trackers[i] = departure.New(departure.Config{Hasten: guilds[i].Hasten})
+		guilds[i].Attach(trackers[i])
+		server := courier.NewServer(&memberHandler{guild: guilds[i]})
+		ctx, cancel := context.WithCancel(t.Context())
+		var runs sync.WaitGroup
+		runs.Go(func() { guilds[i].Run(ctx) })
+		runs.Go(func() { _ = server.Serve(listener) })
+		stops[i] = sync.OnceFunc(func() {
+			_ = server.Close()
+			cancel()
+			runs.Wait()
+		})
+		t.Cleanup(stops[i])
+	}
+	// states counts what hosts 0 to 2 believe of the host.
+	states := func(id ebonyworks.HostID, state ebonyworks.MemberState) int {
+		count := 0
+		for _, g := range guilds[:3] {
+			for _, member := range g.Members() {
+				if member.Host.ID == id && member.State == state {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	eventually := func(within time.Duration, condition func() bool) {
+		require.Eventually(t, condition, within, 20*time.Millisecond)
+	}
+	eventually(10*time.Second, func() bool {
+		return states("entry-3", ebonyworks.MemberAlive) == 3 && states("entry-4", ebonyworks.MemberAlive) == 3 && guilds[4].Readiness().Ready()
+	})
+	trackers[1].Observe(ebonyworks.ServerReport{Server: "server", Incarnation: 1, Leaving: true})
+	eventually(3*time.Second, func() bool { return trackers[0].Leaving("server") && trackers[4].Leaving("server") })
+	guilds[3].Leave(t.Context())
+	stops[3]()
+	stops[4]()
+	eventually(3*time.Second, func() bool { return states("entry-3", ebonyworks.MemberLeft) == 3 })
+	eventually(20*time.Second, func() bool { return states("entry-4", ebonyworks.MemberDead) == 3 })
+}
