Connect the spans of hops and attempts across processes

A caller's trace ended at the host, and a search span showed neither which attempt won a shard nor why it was made: two attempts with valid replies were both marked as winners. Context now travels as traceparent from callers, between hosts and to backend servers, and reservations have spans without results, keys or tickets. tracestate isn't carried: it can be large and every search would send it to every server.

--- a/backend.go
+++ b/backend.go
@@ -134,3 +134,31 @@
 	// Retry is set for an attempt after a failed one.
 	Retry bool
 }
+
+// String returns the stable name of the result in metrics and traces.
+func (r AttemptResult) String() string {
+	switch r {
+	case AttemptServed:
+		return "served"
+	case AttemptShed:
+		return "shed"
+	case AttemptDraining:
+		return "draining"
+	case AttemptSnapshotGone:
+		return "snapshot_gone"
+	case AttemptExpired:
+		return "expired"
+	case AttemptUnreachable:
+		return "unreachable"
+	case AttemptTimeout:
+		return "timeout"
+	case AttemptCancelled:
+		return "canceled"
+	case AttemptInvalid:
+		return "invalid"
+	case AttemptRejected:
+		return "rejected"
+	default:
+		return "lost"
+	}
+}
--- a/cmd/ebony-server/command.go
+++ b/cmd/ebony-server/command.go
@@ -31,6 +31,7 @@
 	reply         string
 	report        string
 	coarse        bool
+	traces        string
 }
 
 func newCommand(recorder ebonyworks.Recorder) *cobra.Command {
@@ -60,6 +61,7 @@
 	set.DurationVar(&f.drainTimeout, "drain-timeout", 30*time.Second, "longest drain after SIGTERM")
 	set.Uint64Var(&f.seed, "seed", 1, "seed of contents, service times and faults")
 	set.IntVar(&f.items, "items", 0, "items of each catalogue (default 1000)")
+	set.StringVar(&f.traces, "traces", "", "file that gets a span for each execution as JSON lines; empty for none")
 	f.registerModel(command)
 	f.registerFaults(command)
 	_ = command.MarkFlagRequired("configuration")
--- a/coordination/reservation/forward.go
+++ b/coordination/reservation/forward.go
@@ -19,7 +19,9 @@
 	ctx, cancel := within(ctx, reservation.Deadline)
 	defer cancel()
 	if owner, ok := r.owner(claims); ok && ctx.Err() == nil {
-		outcome, delivery := r.Peer.Reserve(ctx, owner, reservation)
+		traced, span := r.forwardSpan(ctx, owner)
+		outcome, delivery := r.Peer.Reserve(traced, owner, reservation)
+		endForward(span, outcome, delivery)
 		if delivery == ebonyworks.Delivered && !unreachable(outcome) {
 			return outcome
 		}
@@ -32,7 +34,9 @@
 
 func (r *Runner) forwardOutcome(ctx context.Context, claims ebonyworks.TicketClaims, token string) ebonyworks.Outcome {
 	if owner, ok := r.owner(claims); ok {
-		outcome, delivery := r.Peer.Outcome(ctx, owner, token)
+		traced, span := r.forwardSpan(ctx, owner)
+		outcome, delivery := r.Peer.Outcome(traced, owner, token)
+		endForward(span, outcome, delivery)
 		if delivery == ebonyworks.Delivered && !unreachable(outcome) {
 			return outcome
 		}
@@ -76,7 +80,9 @@
 	if ctx.Err() != nil {
 		return ebonyworks.Outcome{}, false
 	}
+	ctx, span := r.forwardSpan(ctx, peer)
 	outcome, delivery := r.Peer.Outcome(ctx, peer, token)
+	endForward(span, outcome, delivery)
 	known := delivery == ebonyworks.Delivered && outcome.Refusal == nil && !unreachable(outcome)
 	return outcome, known
 }
--- a/coordination/reservation/run.go
+++ b/coordination/reservation/run.go
@@ -44,7 +44,9 @@
 // run executes the reservation and records its outcome, before anyone is
 // told.
 func (r *Runner) run(ctx context.Context, claims ebonyworks.TicketClaims, reservation ebonyworks.Reservation) {
+	ctx, span := r.span(ctx, "run")
 	outcome := r.execute(ctx, claims, reservation)
+	endSpan(span, outcome)
 	r.Ledger.Finish(claims.ID, outcome)
 	if outcome.Kind == ebonyworks.OutcomeUnknown {
 		r.record(event.New(event.ReservationUnknown,
@@ -163,12 +165,14 @@
 func (r *Runner) attempt(ctx context.Context, work *job, chosen target) (ebonyworks.Outcome, step) {
 	defer r.endTrial(work, chosen)
 	server := chosen.server
+	record := ebonyworks.AttemptRecord{Service: work.service.ID, Server: server.ID, Result: ebonyworks.AttemptCancelled, Retry: len(work.refusedBy) > 0}
+	ctx, span := r.attemptSpan(ctx, work, chosen)
+	defer func() { endAttempt(span, record) }()
 	permit, ok := r.Quota.Acquire(ctx, work.service, server.ID)
 	if !ok {
 		return notRun(ebonyworks.CodeDeadline, "the deadline passed before anything was sent", refusedRetryAfter), finished
 	}
 	incarnation := r.Servers.Incarnation(server.ID)
-	record := ebonyworks.AttemptRecord{Service: work.service.ID, Server: server.ID, Result: ebonyworks.AttemptCancelled, Retry: len(work.refusedBy) > 0}
 	if !r.stillAllowed(work, chosen) {
 		permit.Release(record)
 		return ebonyworks.Outcome{}, chooseAgain
@@ -178,6 +182,7 @@
 		permit.Release(record)
 		return *stop, finished
 	}
+	span.AddEvent("sent")
 	begin := time.Now()
 	reply := r.Backend.Reserve(ctx, work.service, server, work.sent)
 	record.Latency = time.Since(begin)
--- a/coordination/reservation/runner.go
+++ b/coordination/reservation/runner.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/ticket"
 	"github.com/ebonyworks/ebonyworks/state/ledger"
@@ -49,7 +51,7 @@
 }
 
 // Settings are the parts that a Runner works with. All are needed but
-// Recorder.
+// Recorder and Tracer.
 type Settings struct {
 	Host        ebonyworks.HostID
 	Incarnation ebonyworks.Incarnation
@@ -67,6 +69,7 @@
 	Admission     ebonyworks.Admission
 	Hedging       ebonyworks.Hedging
 	Recorder      ebonyworks.Recorder
+	Tracer        trace.Tracer
 }
 
 // Runner implements ebonyworks.Reserver, and the part of
@@ -107,6 +110,13 @@
 // Reserve runs the reservation if this incarnation issued the ticket, and
 // otherwise forwards it once.
 func (r *Runner) Reserve(ctx context.Context, reservation ebonyworks.Reservation) ebonyworks.Outcome {
+	ctx, span := r.span(ctx, "reservation")
+	outcome := r.reserve(ctx, reservation)
+	endSpan(span, outcome)
+	return outcome
+}
+
+func (r *Runner) reserve(ctx context.Context, reservation ebonyworks.Reservation) ebonyworks.Outcome {
 	claims, fault := r.Tickets.Verify(reservation.Ticket)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
--- a/coordination/search/attempt.go
+++ b/coordination/search/attempt.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/ebonyworks/ebonyworks"
 )
 
@@ -20,6 +18,9 @@
 	retry       bool
 	// trial is set for the single attempt of a request that isn't known to be safe.
 	trial bool
+	// won is shared by the attempts at the shard and set by the first of them
+	// that has a valid reply.
+	won *atomic.Bool
 }
 
 // do waits for a permit, sends the sub-search, checks the reply and passes on
@@ -33,6 +34,9 @@
 		Hedge:   a.hedge,
 		Retry:   a.retry,
 	}
+	winner := false
+	ctx, span := a.span(ctx)
+	defer func() { a.end(span, record, winner) }()
 	permit, ok := coordinator.Quota.Acquire(ctx, a.shard.service, a.server.ID)
 	if !ok {
 		return a.miss(ebonyworks.MissTimeout), record
@@ -41,8 +45,7 @@
 		permit.Release(record)
 		return a.miss(ebonyworks.MissServerLost), record
 	}
-	ctx, span := a.span(ctx)
-	defer span.End()
+	span.AddEvent("sent")
 	start := time.Now()
 	answer := coordinator.Backend.Search(ctx, a.shard.service, a.server, a.subSearch())
 	answer.Result = a.check(answer)
@@ -51,14 +54,14 @@
 	record.Report = answer.Report
 	permit.Release(record)
 	a.learn(record)
-	span.SetAttributes(
-		attribute.Int("result", int(record.Result)),
-		attribute.Bool("winner", record.Result == ebonyworks.AttemptServed),
-	)
 	if record.Result != ebonyworks.AttemptServed {
 		return a.miss(missReason(record.Result)), record
 	}
 	a.run.prove()
+	winner = a.won.CompareAndSwap(false, true)
+	if !winner {
+		return a.miss(ebonyworks.MissTimeout), record
+	}
 	return shardResult{shard: a.shard.shard.ID, covered: true, rows: answer.Rows}, record
 }
 
@@ -73,15 +76,6 @@
 	return verdict != ebonyworks.RunNone
 }
 
-func (a attempt) span(ctx context.Context) (context.Context, trace.Span) {
-	return a.run.coordinator.tracer().Start(ctx, "attempt", trace.WithAttributes(
-		attribute.String("shard", string(a.shard.shard.ID)),
-		attribute.String("server", string(a.server.ID)),
-		attribute.Bool("hedge", a.hedge),
-		attribute.Bool("retry", a.retry),
-	))
-}
-
 func (a attempt) subSearch() ebonyworks.SubSearch {
 	return ebonyworks.SubSearch{
 		Request:   a.run.request.search.Request,
--- a/coordination/search/search.go
+++ b/coordination/search/search.go
@@ -6,9 +6,7 @@
 	"context"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/event"
@@ -62,10 +60,7 @@
 // Search answers the search by its deadline, or refuses it.
 func (c *Coordinator) Search(ctx context.Context, search ebonyworks.Search) ebonyworks.SearchOutcome {
 	start := time.Now()
-	ctx, span := c.tracer().Start(ctx, "search", trace.WithAttributes(
-		attribute.String("route", string(search.Route)),
-		attribute.String("request", string(search.Request)),
-	))
+	ctx, span := c.span(ctx, search)
 	defer span.End()
 	outcome := c.admitted(ctx, search)
 	describe(span, outcome)
@@ -185,25 +180,6 @@
 	}
 }
 
-func (c *Coordinator) tracer() trace.Tracer {
-	if c.Tracer == nil {
-		return noop.Tracer{}
-	}
-	return c.Tracer
-}
-
 func refuse(code ebonyworks.RefusalCode, message string, retryAfter time.Duration) ebonyworks.SearchOutcome {
 	return ebonyworks.SearchOutcome{Refusal: &ebonyworks.Refusal{Code: code, Message: message, RetryAfter: retryAfter}}
 }
-
-func describe(span trace.Span, outcome ebonyworks.SearchOutcome) {
-	if outcome.Refusal != nil {
-		span.SetAttributes(attribute.String("refusal", string(outcome.Refusal.Code)))
-		return
-	}
-	span.SetAttributes(
-		attribute.Int64("snapshot", int64(outcome.Answer.Snapshot.Number)),
-		attribute.Int("covered", len(outcome.Answer.Coverage.Covered)),
-		attribute.Int("missed", len(outcome.Answer.Coverage.Missed)),
-	)
-}
--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -22,6 +23,8 @@
 	asked    []ebonyworks.ServerID
 	inFlight int
 	reason   ebonyworks.MissReason
+	// won is set by the first attempt with a valid reply.
+	won atomic.Bool
 	// waiting is set once the shard has waited for proof from other shards.
 	waiting bool
 }
@@ -141,6 +144,7 @@
 		incarnation: candidate.Incarnation,
 		hedge:       hedge,
 		retry:       retry,
+		won:         &s.won,
 	}
 	go func() {
 		result, record := attempt.do(ctx)
--- a/coordination/search/trial.go
+++ b/coordination/search/trial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -49,7 +50,7 @@
 	shard := r.plan.shards[index]
 	ctx, cancel := context.WithTimeout(ctx, r.trialTimeout(ctx, shard))
 	defer cancel()
-	attempt := attempt{run: r, shard: shard, server: trial.Server, incarnation: r.incarnation(shard, trial.Server.ID), trial: true}
+	attempt := attempt{run: r, shard: shard, server: trial.Server, incarnation: r.incarnation(shard, trial.Server.ID), trial: true, won: &atomic.Bool{}}
 	result, _ := attempt.do(ctx)
 	return result
 }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/ticket"
@@ -75,7 +76,7 @@
 		p.host.Run(hostCtx)
 	}()
 	callers := p.callerServer()
-	members := courier.NewServer(p.host)
+	members := courier.NewServer(p.host, courier.WithTracer(p.tracer()))
 	failed := make(chan error, 3)
 	go func() { failed <- ignoreClosed(callers.Serve(p.callers)) }()
 	go func() { failed <- members.Serve(p.members) }()
@@ -164,7 +165,7 @@
 		return err
 	}
 	p.backend = stockroom.NewClient(stockroom.Options{LocalAddress: p.settings.Peers.Addr(), Recorder: p.recorder})
-	p.peers = courier.NewClient(nil)
+	p.peers = courier.NewClient(nil, courier.WithTracer(p.tracer()))
 	options := entry.Options{
 		Self: ebonyworks.Host{
 			ID: p.settings.Host,
@@ -186,14 +187,20 @@
 		Seed:      uint64(time.Now().UnixNano()),
 		Recorder:  p.recorder,
 		Observer:  p.telemetry,
-	}
-	if p.settings.Traces.Exporter != settings.TracesNone {
-		options.Tracer = p.telemetry.Tracer()
+		Tracer:    p.tracer(),
 	}
 	p.host, err = entry.New(options)
 	return err
 }
 
+// tracer returns nil if no traces are exported, so that no span costs anything.
+func (p *process) tracer() trace.Tracer {
+	if p.settings.Traces.Exporter == settings.TracesNone {
+		return nil
+	}
+	return p.telemetry.Tracer()
+}
+
 func (p *process) seeds() []netip.AddrPort {
 	var seeds []netip.AddrPort
 	for _, seed := range p.settings.Seeds {
@@ -236,6 +243,7 @@
 		Status:       p.host,
 		Routes:       p.host,
 		MaxBodyBytes: int64(p.settings.Limits.BodyBytes),
+		Tracer:       p.tracer(),
 	}
 	return &http.Server{
 		Handler:           p.closeWhenStopping(api.Handler()),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,6 +181,7 @@
 		Admission:     gate,
 		Hedging:       h.policy.hedging,
 		Recorder:      h.options.Recorder,
+		Tracer:        h.options.Tracer,
 	})
 }
 
--- a/peer.go
+++ b/peer.go
@@ -31,6 +31,20 @@
 	MemberLeft
 )
 
+// String returns the stable name of the state in metrics.
+func (s MemberState) String() string {
+	switch s {
+	case MemberAlive:
+		return "alive"
+	case MemberSuspect:
+		return "suspect"
+	case MemberDead:
+		return "dead"
+	default:
+		return "left"
+	}
+}
+
 // Member is a fact about a host. Within one incarnation of the host, the
 // larger (Round, State) replaces the smaller.
 type Member struct {
--- a/reservation.go
+++ b/reservation.go
@@ -32,6 +32,18 @@
 	OutcomeNotRun
 )
 
+// String returns the stable name of the kind in metrics and traces.
+func (k OutcomeKind) String() string {
+	switch k {
+	case OutcomeRan:
+		return "ran"
+	case OutcomeNotRun:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
+
 // OutcomeCode is a stable code that explains an outcome.
 type OutcomeCode string
 
--- a/standin/server/fleet.go
+++ b/standin/server/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
 )
@@ -28,6 +29,8 @@
 	Selector Selector
 	// Recorder takes events; nil discards them.
 	Recorder ebonyworks.Recorder
+	// Tracer starts a span for each execution; nil starts none.
+	Tracer trace.Tracer
 	// FineClock makes delays accurate to a fraction of a millisecond, at the
 	// cost of a thread that wakes up to 5,000 times a second under load.
 	FineClock bool
@@ -152,6 +155,7 @@
 		Contents:  f.contents,
 		Timeline:  f.timelines[catalogue.ID],
 		Model:     f.options.Model,
+		Tracer:    f.options.Tracer,
 		Seed:      f.options.Seed ^ xxhash.Sum64String(string(server.ID)),
 		Recorder:  f.options.Recorder,
 	}
--- a/standin/server/handler.go
+++ b/standin/server/handler.go
@@ -8,6 +8,10 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/protocol/shelfmark"
 )
@@ -58,7 +62,7 @@
 	if !ok || !s.options.clock.wait(r.Context(), job.arrived) {
 		return
 	}
-	reply, ok := handle(r.Context(), job, body)
+	reply, ok := handle(s.traced(r), job, body)
 	if !ok {
 		return
 	}
@@ -254,9 +258,30 @@
 	return false
 }
 
-// run holds a slot for the service time. The reservation, if any, counts as
-// executed from the moment it has the slot.
+// run executes a request in a span of its own.
 func (s *Server) run(ctx context.Context, job *job, remaining time.Duration, fields []ebonyworks.Field, reservation *ebonyworks.SubReservation) ebonyworks.AttemptResult {
+	if s.options.Tracer == nil {
+		return s.execute(ctx, job, remaining, fields, reservation)
+	}
+	ctx, span := s.options.Tracer.Start(ctx, "execute", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("server", string(s.ID()))))
+	defer span.End()
+	result := s.execute(ctx, job, remaining, fields, reservation)
+	span.SetAttributes(attribute.String("result", result.String()))
+	return result
+}
+
+// traced returns the request's context with the trace that the host sent.
+func (s *Server) traced(r *http.Request) context.Context {
+	if s.options.Tracer == nil {
+		return r.Context()
+	}
+	return propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+}
+
+// execute holds a slot for the service time. The reservation, if any, counts as
+// executed from the moment it has the slot.
+func (s *Server) execute(ctx context.Context, job *job, remaining time.Duration, fields []ebonyworks.Field, reservation *ebonyworks.SubReservation) ebonyworks.AttemptResult {
 	current := job.view.life
 	switch {
 	case job.view.state != Running:
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/event"
@@ -41,6 +42,9 @@
 	Seed uint64
 	// Recorder takes events; nil discards them.
 	Recorder ebonyworks.Recorder
+	// Tracer starts a span for each request that reaches the slots; nil starts
+	// none.
+	Tracer trace.Tracer
 	// clock is the runtime's if nil.
 	clock clock
 }
--- a/telemetry/observe.go
+++ b/telemetry/observe.go
@@ -15,7 +15,7 @@
 	ctx := context.Background()
 	labels := metric.WithAttributes(
 		attribute.String("service", string(record.Service)),
-		attribute.String("result", ResultName(record.Result)),
+		attribute.String("result", record.Result.String()),
 		attribute.String("kind", attemptKind(record)),
 	)
 	t.attempts.Add(ctx, 1, labels)
@@ -58,12 +58,8 @@
 	switch {
 	case outcome.Refusal != nil:
 		return "refused"
-	case outcome.Kind == ebonyworks.OutcomeRan:
-		return "ran"
-	case outcome.Kind == ebonyworks.OutcomeNotRun:
-		return "not_run"
 	default:
-		return "unknown"
+		return outcome.Kind.String()
 	}
 }
 
@@ -77,31 +73,3 @@
 		return "first"
 	}
 }
-
-// ResultName returns the name of an attempt's result in metrics.
-func ResultName(result ebonyworks.AttemptResult) string {
-	switch result {
-	case ebonyworks.AttemptServed:
-		return "served"
-	case ebonyworks.AttemptShed:
-		return "shed"
-	case ebonyworks.AttemptDraining:
-		return "draining"
-	case ebonyworks.AttemptSnapshotGone:
-		return "snapshot_gone"
-	case ebonyworks.AttemptExpired:
-		return "expired"
-	case ebonyworks.AttemptUnreachable:
-		return "unreachable"
-	case ebonyworks.AttemptTimeout:
-		return "timeout"
-	case ebonyworks.AttemptCancelled:
-		return "canceled"
-	case ebonyworks.AttemptInvalid:
-		return "invalid"
-	case ebonyworks.AttemptRejected:
-		return "rejected"
-	default:
-		return "lost"
-	}
-}
--- a/transport/counter/counter.go
+++ b/transport/counter/counter.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/protocol/order"
@@ -33,8 +34,8 @@
 	Route(id ebonyworks.RouteID) (ebonyworks.Route, bool)
 }
 
-// Counter handles the requests of callers. All fields but MaxBodyBytes are
-// required and don't change after the first request.
+// Counter handles the requests of callers. All fields but MaxBodyBytes
+// and Tracer are required and don't change after the first request.
 type Counter struct {
 	Searcher ebonyworks.Searcher
 	Reserver ebonyworks.Reserver
@@ -42,17 +43,19 @@
 	Routes   Routes
 	// MaxBodyBytes is the largest accepted body; zero means DefaultMaxBodyBytes.
 	MaxBodyBytes int64
+	// Tracer starts a span for each request; nil starts none.
+	Tracer trace.Tracer
 }
 
 // Handler returns the HTTP handler of the API.
 func (c *Counter) Handler() http.Handler {
 	router := echo.New()
 	router.HTTPErrorHandler = c.handleError
-	router.POST("/v1/search", c.handleSearch)
-	router.POST("/v1/tickets", c.handleTicket)
-	router.POST("/v1/reservations", c.handleReservation)
-	router.GET("/v1/reservations/:ticket", c.handleOutcome)
-	router.GET("/v1/status", c.handleStatus)
+	router.POST("/v1/search", c.handleSearch, c.traced)
+	router.POST("/v1/tickets", c.handleTicket, c.traced)
+	router.POST("/v1/reservations", c.handleReservation, c.traced)
+	router.GET("/v1/reservations/:ticket", c.handleOutcome, c.traced)
+	router.GET("/v1/status", c.handleStatus, c.traced)
 	router.GET("/healthz", c.handleHealth)
 	router.GET("/readyz", c.handleReadiness)
 	return router
--- a/transport/courier/client.go
+++ b/transport/courier/client.go
@@ -39,6 +39,7 @@
 // Client sends messages to other hosts. No message is ever sent twice. Use
 // NewClient.
 type Client struct {
+	options   options
 	transport *http.Transport
 	http      *http.Client
 	mu        sync.Mutex
@@ -49,7 +50,7 @@
 var _ ebonyworks.Peer = (*Client)(nil)
 
 // NewClient returns a client. A nil dial opens TCP connections.
-func NewClient(dial Dial) *Client {
+func NewClient(dial Dial, list ...Option) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTime}).DialContext
 	}
@@ -60,6 +61,7 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime, WriteByteTimeout: pingAfter},
 	}
 	return &Client{
+		options:   newOptions(list),
 		transport: transport,
 		http:      &http.Client{Transport: onceTransport{next: transport}, CheckRedirect: refuseRedirect},
 		clients:   make(map[netip.AddrPort]peerv1connect.PeerServiceClient),
@@ -150,7 +152,7 @@
 	client := peerv1connect.NewPeerServiceClient(c.http, "http://"+address.String(),
 		connect.WithReadMaxBytes(maxDocumentBytes),
 		connect.WithSendMaxBytes(maxLedgerBytes),
-		connect.WithInterceptors(connect.UnaryInterceptorFunc(boundCall)),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(c.options.traceCall), connect.UnaryInterceptorFunc(boundCall)),
 	)
 	c.clients[address] = client
 	return client
--- a/transport/courier/server.go
+++ b/transport/courier/server.go
@@ -29,10 +29,11 @@
 }
 
 // NewServer returns a server for the handler.
-func NewServer(handler ebonyworks.PeerHandler) *Server {
+func NewServer(handler ebonyworks.PeerHandler, list ...Option) *Server {
+	options := newOptions(list)
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(service{handler: handler},
-		connect.WithInterceptors(connect.UnaryInterceptorFunc(boundCall)),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(options.traceCall), connect.UnaryInterceptorFunc(boundCall)),
 		connect.WithCompressMinBytes(compressAbove),
 		connect.WithConditionalHandlerOptions(sizeLimits),
 	))
--- /dev/null
+++ b/transport/courier/trace.go
@@ -0,0 +1,72 @@
+package courier
+
+import (
+	"context"
+	"strings"
+
+	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1/peerv1connect"
+	"github.com/ebonyworks/ebonyworks/transport/tracecontext"
+)
+
+// Option changes a client or a server.
+type Option func(*options)
+
+type options struct {
+	tracer trace.Tracer
+}
+
+// WithTracer adds spans for forwarded reservations and queries for outcomes.
+// The trace context travels with them with or without a tracer.
+func WithTracer(tracer trace.Tracer) Option {
+	return func(o *options) { o.tracer = tracer }
+}
+
+func newOptions(list []Option) options {
+	o := options{tracer: noop.Tracer{}}
+	for _, option := range list {
+		option(&o)
+	}
+	if o.tracer == nil {
+		o.tracer = noop.Tracer{}
+	}
+	return o
+}
+
+// traced reports whether calls of the procedure have spans. Probes and
+// exchanges belong to no request and would outnumber all other spans.
+func traced(procedure string) bool {
+	return procedure == peerv1connect.PeerServiceReserveProcedure || procedure == peerv1connect.PeerServiceOutcomeProcedure
+}
+
+// traceCall starts a client span and sends its context, or continues the
+// client's trace with a server span.
+func (o options) traceCall(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		procedure := request.Spec().Procedure
+		if !traced(procedure) {
+			return next(ctx, request)
+		}
+		kind := trace.SpanKindServer
+		if request.Spec().IsClient {
+			kind = trace.SpanKindClient
+		} else {
+			ctx = tracecontext.Extract(ctx, request.Header())
+		}
+		ctx, span := o.tracer.Start(ctx, strings.TrimPrefix(procedure, "/"), trace.WithSpanKind(kind))
+		defer span.End()
+		if request.Spec().IsClient {
+			tracecontext.Inject(ctx, request.Header())
+		}
+		response, err := next(ctx, request)
+		if err != nil {
+			// The message isn't recorded: it may quote what was sent.
+			span.SetStatus(codes.Error, connect.CodeOf(err).String())
+		}
+		return response, err
+	}
+}
--- a/transport/stockroom/exchange.go
+++ b/transport/stockroom/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/protocol/shelfmark"
+	"github.com/ebonyworks/ebonyworks/transport/tracecontext"
 )
 
 // goAwayMessage is how net/http names a request whose stream is above the last
@@ -101,6 +102,7 @@
 		URL:    &url.URL{Scheme: "http", Host: server.Address.String(), Path: call.path},
 		Header: http.Header{"User-Agent": {"ebonyworks"}},
 	}).WithContext(ctx)
+	tracecontext.Inject(ctx, request.Header)
 	if call.encode == nil {
 		return request, nil
 	}
