--- /dev/null
+++ b/coordination/search/span_test.go
@@ -0,0 +1,128 @@
+package search_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/attribute"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// Guards against spans that don't tell which attempt won a shard and why, or
+// that mark two attempts at one shard as winners.
+func TestSpansMarkWinnerAndLosers(t *testing.T) {
+	cases := map[string]struct {
+		first   fault
+		verdict ebonyworks.Verdict
+		// want lists the attempts at one shard as kind, result and mark.
+		want []string
+	}{
+		"first wins":   {first: noFault, want: []string{"first served winner"}},
+		"hedge wins":   {first: hang, want: []string{"first canceled cancelled", "hedge served winner"}},
+		"retry wins":   {first: shed, want: []string{"first shed", "retry served winner"}},
+		"invalid lost": {first: wrongShard, want: []string{"first invalid", "retry served winner"}},
+		"trial wins":   {first: noFault, verdict: ebonyworks.RunOne, want: []string{"trial served winner"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1)
+				w.reportAll(snapshot(3, 1))
+				w.verdict = c.verdict
+				asked := make(map[ebonyworks.ShardID]bool)
+				w.plan = func(_ ebonyworks.ServerID, search ebonyworks.SubSearch) fault {
+					if asked[search.Shard] {
+						return noFault
+					}
+					asked[search.Shard] = true
+					return c.first
+				}
+				spans := traced(t, w)
+				var tried ebonyworks.ShardID
+				if c.verdict == ebonyworks.RunOne {
+					tried = w.attempts[0].search.Shard
+				}
+				assert.ElementsMatch(t, c.want, attemptsAt(spans, tried))
+			})
+		})
+	}
+}
+
+// traced runs a search and returns its spans once all attempts have ended.
+func traced(t *testing.T, w *world) []sdktrace.ReadOnlySpan {
+	recorder := tracetest.NewSpanRecorder()
+	provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder))
+	coordinator := w.coordinator()
+	coordinator.Tracer = provider.Tracer("test")
+	outcome := coordinator.Search(context.Background(), ebonyworks.Search{Request: "r1", Route: routeID, House: "h", Deadline: time.Now().Add(time.Second)})
+	require.Nil(t, outcome.Refusal)
+	synctest.Wait()
+	return recorder.Ended()
+}
+
+// attemptsAt describes the attempts at a shard, or at any one if it is empty.
+func attemptsAt(spans []sdktrace.ReadOnlySpan, shard ebonyworks.ShardID) []string {
+	var described []string
+	for _, span := range spans {
+		if span.Name() != "attempt" {
+			continue
+		}
+		set := attribute.NewSet(span.Attributes()...)
+		at, _ := set.Value("shard")
+		if shard == "" {
+			shard = ebonyworks.ShardID(at.AsString())
+		}
+		if string(shard) != at.AsString() {
+			continue
+		}
+		kind, _ := set.Value("kind")
+		result, _ := set.Value("result")
+		text := kind.AsString() + " " + result.AsString()
+		if winner, _ := set.Value("winner"); winner.AsBool() {
+			text += " winner"
+		}
+		if cancelled, _ := set.Value("cancelled"); cancelled.AsBool() {
+			text += " cancelled"
+		}
+		described = append(described, text)
+	}
+	return described
+}
+
+// instant is a world whose servers reply at once.
+type instant struct {
+	*world
+}
+
+func (i instant) Search(_ context.Context, _ *ebonyworks.Service, _ ebonyworks.Server, sub ebonyworks.SubSearch) ebonyworks.SubAnswer {
+	return ebonyworks.SubAnswer{Result: ebonyworks.AttemptServed, Request: sub.Request, Snapshot: sub.Snapshot, Shard: sub.Shard}
+}
+
+// BenchmarkTracing compares searches without a tracer, with one that drops
+// all spans and with one that samples none.
+func BenchmarkTracing(b *testing.B) {
+	never := sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample()))
+	tracers := map[string]trace.Tracer{"none": nil, "noop": noop.Tracer{}, "unsampled": never.Tracer("test")}
+	for name, tracer := range tracers {
+		b.Run(name, func(b *testing.B) {
+			w := newWorld(1)
+			w.reportAll(snapshot(3, 1))
+			coordinator := w.coordinator()
+			coordinator.Backend = instant{w}
+			coordinator.Tracer = tracer
+			b.ReportAllocs()
+			for b.Loop() {
+				coordinator.Search(context.Background(), ebonyworks.Search{Request: "r1", Route: routeID, House: "h", Deadline: time.Now().Add(time.Second)})
+			}
+		})
+	}
+}
