--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/operator"
@@ -35,7 +37,9 @@
 
 // site is a platform, backend servers and entry hosts in one process.
 type site struct {
-	t         *testing.T
+	t *testing.T
+	// traces is the directory of the span files; empty for no traces.
+	traces    string
 	platform  *platform.Platform
 	fleet     *server.Fleet
 	processes []*process
@@ -43,8 +47,8 @@
 	ended     []chan error
 }
 
-func newSite(t *testing.T) *site {
-	s := &site{t: t, platform: platform.New(platform.Options{})}
+func newSite(t *testing.T, traces string, tracer trace.Tracer) *site {
+	s := &site{t: t, traces: traces, platform: platform.New(platform.Options{})}
 	first := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), freePorts(t))
 	configuration, problems := kitakaze.Plan(operator.Addresses{First: first}).Configuration()
 	require.Empty(t, problems)
@@ -54,7 +58,7 @@
 		_, err := s.platform.Put(value.Key, value.Bytes)
 		require.NoError(t, err)
 	}
-	s.fleet = server.NewFleet(server.FleetOptions{Seed: 1, Items: 200})
+	s.fleet = server.NewFleet(server.FleetOptions{Seed: 1, Items: 200, Tracer: tracer})
 	require.NoError(t, s.fleet.Apply(configuration))
 	t.Cleanup(s.fleet.Close)
 	service := httptest.NewServer(s.platform)
@@ -112,6 +116,10 @@
 	}
 	for _, process := range s.processes {
 		process.settings.Seeds = seeds
+		if s.traces != "" {
+			file := filepath.Join(s.traces, string(process.settings.Host))
+			process.settings.Traces = settings.Traces{Exporter: settings.TracesFile, File: file}
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		go func() { ended <- process.run(ctx) }()
@@ -212,7 +220,7 @@
 // Guards against a planned stop that breaks requests in flight, loses the
 // outcome of a reservation, or makes one run twice.
 func TestPlannedStopUnderLoad(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, "", nil)
 	ctx, cancel := context.WithTimeout(context.Background(), loadTime)
 	defer cancel()
 	b := &balancer{ready: make([]atomic.Bool, fleetSize)}
