Export metrics of the host itself and describe them

Operators saw attempts and searches but not the revision in force, readiness, members, servers by state, queues, budgets or quarantined fingerprints. Route labels of refused searches held whatever name a caller sent, so the number of series was unbounded; names that aren't in force now count as unknown. A test compares the page, the list of metrics and a scrape of an assembled host.

--- a/coordination/inspection/inspector.go
+++ b/coordination/inspection/inspector.go
@@ -193,6 +193,20 @@
 	return i.suspects.reports(time.Now())
 }
 
+// Blocked returns the number of fingerprints that are refused.
+func (i *Inspector) Blocked() int {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	blocked := 0
+	for fingerprint := range i.suspects.deaths {
+		if count, _ := i.suspects.count(now, fingerprint); count >= deathsToBlock {
+			blocked++
+		}
+	}
+	return blocked
+}
+
 // Merge learns from the reports of a peer. The order and the number of copies
 // of reports make no difference.
 func (i *Inspector) Merge(reports []ebonyworks.CrashReport) {
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -188,6 +188,7 @@
 		Recorder:  p.recorder,
 		Observer:  p.telemetry,
 		Tracer:    p.tracer(),
+		Meter:     p.telemetry.Meter(),
 	}
 	p.host, err = entry.New(options)
 	return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -30,7 +31,8 @@
 	"github.com/ebonyworks/ebonyworks/state/register"
 )
 
-// Options are what a host needs. Tracer, Recorder and Observer may be nil.
+// Options are what a host needs. Tracer, Meter, Recorder and Observer may
+// be nil.
 type Options struct {
 	Self ebonyworks.Host
 	// Seeds are peers' addresses of hosts to contact first.
@@ -47,8 +49,10 @@
 	PartKey func(name string) ebonyworks.Key
 	Policy  Policy
 	// Seed makes the random choices of the host reproducible.
-	Seed     uint64
-	Tracer   trace.Tracer
+	Seed   uint64
+	Tracer trace.Tracer
+	// Meter takes the host's own metrics; nil takes none.
+	Meter    metric.Meter
 	Recorder ebonyworks.Recorder
 	Observer ebonyworks.Observer
 }
@@ -69,6 +73,9 @@
 	office     *ticket.Office
 	searches   *search.Coordinator
 	runner     *reservation.Runner
+	hedging    *countedHedging
+	refusals   metric.Int64Counter
+	metering   metric.Registration
 	// reports bounds the crash reports that are being sent.
 	reports chan struct{}
 	// started is when Run was called, in nanoseconds since the epoch.
@@ -97,7 +104,11 @@
 	h.policy = newPolicy(options.Policy, h.random(selectionStream))
 	h.inspector = &inspection.Inspector{Publish: h.publishCrashes, Recorder: options.Recorder}
 	h.assembleMembership()
+	h.hedging = &countedHedging{Hedging: h.policy.hedging}
 	h.assembleWork()
+	if err := h.measure(options.Meter); err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -157,13 +168,13 @@
 		Directory:  servers,
 		Catalogue:  h.catalogue,
 		Selection:  h.policy.selection,
-		Hedging:    h.policy.hedging,
+		Hedging:    h.hedging,
 		Quota:      h.quota,
 		Inspection: h.inspector,
 		Admission:  gate,
 		Tracer:     h.options.Tracer,
 		Recorder:   h.options.Recorder,
-		Observer:   h.options.Observer,
+		Observer:   observer{h},
 	}
 	h.runner = reservation.New(reservation.Settings{
 		Host:          h.options.Self.ID,
@@ -179,7 +190,7 @@
 		Quota:         h.quota,
 		Inspection:    h.inspector,
 		Admission:     gate,
-		Hedging:       h.policy.hedging,
+		Hedging:       h.hedging,
 		Recorder:      h.options.Recorder,
 		Tracer:        h.options.Tracer,
 	})
@@ -198,6 +209,8 @@
 	}
 	<-ctx.Done()
 	h.background.Wait()
+	// It fails only for a foreign registration.
+	_ = h.metering.Unregister()
 }
 
 // BeginStop makes the host not ready, so that the load balancer sends no more
@@ -242,9 +255,7 @@
 func (h *Host) Reserve(ctx context.Context, reservation ebonyworks.Reservation) ebonyworks.Outcome {
 	start := time.Now()
 	outcome := h.runner.Reserve(ctx, reservation)
-	if h.options.Observer != nil {
-		h.options.Observer.ReservationEnded(reservation.Route, outcome, time.Since(start))
-	}
+	observer{h}.ReservationEnded(reservation.Route, outcome, time.Since(start))
 	return outcome
 }
 
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -19,6 +19,7 @@
 	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
 	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/telemetry"
 )
 
 const (
@@ -39,6 +40,8 @@
 	t             *testing.T
 	configuration *ebonyworks.Configuration
 	plan          *operator.Plan
+	// telemetry is given to hosts that start while it is set.
+	telemetry *telemetry.Telemetry
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -125,7 +128,7 @@
 	m := &member{site: s, address: address(index), done: make(chan struct{})}
 	key, err := ticket.NewKey("k", make([]byte, ticket.MinSecretBytes))
 	require.NoError(s.t, err)
-	m.host, err = entry.New(entry.Options{
+	options := entry.Options{
 		Self:      ebonyworks.Host{ID: hostID(index), Incarnation: incarnation, Address: m.address, Domain: "Sapporo"},
 		Seeds:     []netip.AddrPort{address(0), address(1), address(2)},
 		Keys:      []ticket.Key{key},
@@ -136,7 +139,12 @@
 		HeadKey:   notice.HeadKey,
 		PartKey:   notice.PartKey,
 		Seed:      uint64(index),
-	})
+	}
+	if s.telemetry != nil {
+		options.Meter = s.telemetry.Meter()
+		options.Observer = s.telemetry
+	}
+	m.host, err = entry.New(options)
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
--- a/entry/status.go
+++ b/entry/status.go
@@ -10,6 +10,9 @@
 // it is ready.
 const reportWait = 3 * time.Second
 
+// reasonFailing is the reason of a server whose recent attempts failed.
+const reasonFailing = "recent attempts failed; used only if no other server is left"
+
 var _ ebonyworks.StatusReporter = (*Host)(nil)
 
 // Ready reports whether the load balancer should send requests, and if not, why.
@@ -122,7 +125,7 @@
 		status.Reason = "a peer or the host list says that the server is leaving"
 	case candidate.Failing:
 		status.InUse = false
-		status.Reason = "recent attempts failed; used only if no other server is left"
+		status.Reason = reasonFailing
 	case candidate.Share < 1:
 		status.Reason = "cold: its share of the traffic is ramping up"
 	}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/telemetry/instrument"
 )
 
 const (
@@ -118,19 +119,19 @@
 func (t *Telemetry) createInstruments() error {
 	meter := t.meters.Meter(scope)
 	var failures [6]error
-	t.attempts, failures[0] = meter.Int64Counter("ebonyworks.attempts",
+	t.attempts, failures[0] = meter.Int64Counter(instrument.Attempts,
 		metric.WithDescription("Attempts at backend servers by service, result and kind."))
-	t.attemptLatency, failures[1] = meter.Float64Histogram("ebonyworks.attempt.duration",
+	t.attemptLatency, failures[1] = meter.Float64Histogram(instrument.AttemptTime,
 		metric.WithUnit("s"), metric.WithDescription("Time from sending to the end of an attempt."),
 		metric.WithExplicitBucketBoundaries(buckets()...))
-	t.searches, failures[2] = meter.Int64Counter("ebonyworks.searches",
+	t.searches, failures[2] = meter.Int64Counter(instrument.Searches,
 		metric.WithDescription("Searches by route and outcome: complete, partial or the code of the refusal."))
-	t.searchLatency, failures[3] = meter.Float64Histogram("ebonyworks.search.duration",
+	t.searchLatency, failures[3] = meter.Float64Histogram(instrument.SearchTime,
 		metric.WithUnit("s"), metric.WithDescription("Time to answer a search."),
 		metric.WithExplicitBucketBoundaries(buckets()...))
-	t.missedShards, failures[4] = meter.Int64Counter("ebonyworks.missed_shards",
+	t.missedShards, failures[4] = meter.Int64Counter(instrument.MissedShards,
 		metric.WithDescription("Shards that answers missed, by route and reason."))
-	t.reservations, failures[5] = meter.Int64Counter("ebonyworks.reservations",
+	t.reservations, failures[5] = meter.Int64Counter(instrument.Reservations,
 		metric.WithDescription("Reservations by route, outcome and code."))
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create instruments")
