--- a/cmd/ebony-server/run_test.go
+++ b/cmd/ebony-server/run_test.go
@@ -40,6 +40,7 @@
 	command.SetArgs([]string{
 		"--configuration", directory, "--catalogue", "fitting-desk", "--admin", admin,
 		"--origin", "Sapporo=127.10.0.0/16", "--drain-notice", "1ms", "--slow-factor", "2",
+		"--traces", filepath.Join(directory, "spans"),
 	})
 	done := make(chan error, 1)
 	go func() { done <- command.ExecuteContext(ctx) }()
@@ -52,6 +53,7 @@
 	}, 10*time.Second, 10*time.Millisecond)
 	cancel()
 	assert.NoError(t, <-done)
+	assert.FileExists(t, filepath.Join(directory, "spans"))
 
 	wrong := newCommand(&event.Recorder{})
 	wrong.SetArgs([]string{"--configuration", directory, "--origin", "Sapporo"})
--- a/coordination/search/span.go
+++ b/coordination/search/span.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// end ends the span of an attempt. An attempt is marked as cancelled if it was
+// end ends the span of an attempt. An attempt is marked as canceled if it was
 // ended early, or if its valid reply came after that of another attempt.
 func (a attempt) end(span trace.Span, record ebonyworks.AttemptRecord, winner bool) {
 	if span.IsRecording() {
@@ -73,7 +73,7 @@
 		span.SetAttributes(
 			attribute.String("result", record.Result.String()),
 			attribute.Bool("winner", winner),
-			attribute.Bool("cancelled", late || record.Result == ebonyworks.AttemptCancelled),
+			attribute.Bool("canceled", late || record.Result == ebonyworks.AttemptCancelled),
 		)
 	}
 	span.End()
