--- a/coordination/reservation/forward.go
+++ b/coordination/reservation/forward.go
@@ -23,7 +23,9 @@
 		return outcome
 	}
 	if owner, ok := r.owner(claims); ok && ctx.Err() == nil {
-		outcome, delivery := r.settings.Peer.Reserve(ctx, owner, reservation)
+		traced, span := r.forwardSpan(ctx, owner)
+		outcome, delivery := r.settings.Peer.Reserve(traced, owner, reservation)
+		endForward(span, outcome, delivery)
 		if delivery == ebonyworks.Delivered && !unreachable(outcome) {
 			return outcome
 		}
@@ -46,7 +48,9 @@
 	if owner, ok := r.owner(claims); ok {
 		bounded, cancel := context.WithTimeout(ctx, ownerTime)
 		defer cancel()
-		outcome, delivery := r.settings.Peer.Outcome(bounded, owner, token)
+		traced, span := r.forwardSpan(bounded, owner)
+		outcome, delivery := r.settings.Peer.Outcome(traced, owner, token)
+		endForward(span, outcome, delivery)
 		if delivery == ebonyworks.Delivered && !unreachable(outcome) {
 			return outcome
 		}
@@ -83,7 +87,7 @@
 		return peer.ID == claims.Host && peer.Incarnation <= claims.Incarnation
 	})
 	for _, peer := range peers[:min(asked, len(peers))] {
-		if outcome, ok := ask.put(ctx, peer); ok {
+		if outcome, ok := r.put(ctx, ask, peer); ok {
 			return outcome
 		}
 	}
@@ -91,13 +95,15 @@
 }
 
 // put returns the answer if the peer knows one.
-func (q question) put(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, bool) {
+func (r *Runner) put(ctx context.Context, ask question, peer ebonyworks.Host) (ebonyworks.Outcome, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	if ctx.Err() != nil {
 		return ebonyworks.Outcome{}, false
 	}
-	outcome, delivery := q(ctx, peer)
+	traced, span := r.forwardSpan(ctx, peer)
+	outcome, delivery := ask(traced, peer)
+	endForward(span, outcome, delivery)
 	if delivery != ebonyworks.Delivered || unreachable(outcome) {
 		return outcome, false
 	}
--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -25,6 +26,8 @@
 	asked    []ebonyworks.ServerID
 	inFlight int
 	reason   ebonyworks.MissReason
+	// won is set by the first attempt with a valid reply.
+	won atomic.Bool
 	// waiting is set once the shard has waited for proof from other shards.
 	waiting bool
 }
@@ -154,6 +157,7 @@
 		incarnation: candidate.Incarnation,
 		hedge:       hedge,
 		retry:       retry,
+		won:         &s.won,
 	}
 	go func() {
 		result, record := attempt.do(ctx)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -30,7 +31,8 @@
 	"github.com/ebonyworks/ebonyworks/state/register"
 )
 
-// Options are what a host needs. Tracer, Recorder and Observer may be nil.
+// Options are what a host needs. Tracer, Meter, Recorder and Observer may
+// be nil.
 type Options struct {
 	Self ebonyworks.Host
 	// Seeds are peers' addresses of hosts to contact first.
@@ -47,8 +49,10 @@
 	PartKey func(name string) ebonyworks.Key
 	Policy  Policy
 	// Seed makes the random choices of the host reproducible.
-	Seed     uint64
-	Tracer   trace.Tracer
+	Seed   uint64
+	Tracer trace.Tracer
+	// Meter takes the host's own metrics; nil takes none.
+	Meter    metric.Meter
 	Recorder ebonyworks.Recorder
 	Observer ebonyworks.Observer
 }
@@ -69,12 +73,16 @@
 	office     *ticket.Office
 	searches   *search.Coordinator
 	runner     *reservation.Runner
+	ledger     *ledger.Ledger
 	// reservable is the configuration in force without partitions that no server
 	// has reported yet.
 	reservable atomic.Pointer[ebonyworks.Configuration]
 	// reporter tells peers of crashes without waiting for the next exchange: the
 	// caller of the request may send it to another host at once.
 	reporter *inspection.Reporter
+	hedging  *countedHedging
+	refusals metric.Int64Counter
+	metering metric.Registration
 	// started is when Run was called, in nanoseconds since the epoch.
 	started  atomic.Int64
 	stopping atomic.Bool
@@ -89,6 +97,7 @@
 		meter:     bulletin.NewMeter(options.Platform),
 		edition:   &edition.Edition{},
 		catalogue: &catalogue.Catalogue{},
+		ledger:    &ledger.Ledger{},
 		quota:     quota.New(1),
 	}
 	office, err := ticket.NewOffice(options.Self.ID, options.Self.Incarnation, options.Keys, h.random(officeStream))
@@ -99,7 +108,11 @@
 	h.register = &register.Register{Random: h.random(registerStream), Recorder: options.Recorder}
 	h.policy = newPolicy(options.Policy, h.random(selectionStream))
 	h.assembleMembership()
+	h.hedging = &countedHedging{Hedging: h.policy.hedging}
 	h.assembleWork()
+	if err := h.measure(options.Meter); err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -161,20 +174,20 @@
 		Directory:  servers,
 		Catalogue:  h.catalogue,
 		Selection:  h.policy.selection,
-		Hedging:    h.policy.hedging,
+		Hedging:    h.hedging,
 		Quota:      h.quota,
 		Inspection: h.inspector,
 		Admission:  gate,
 		Tracer:     h.options.Tracer,
 		Recorder:   h.options.Recorder,
-		Observer:   h.options.Observer,
+		Observer:   observer{h},
 	}
 	h.runner = reservation.New(reservation.Settings{
 		Host:          h.options.Self.ID,
 		Incarnation:   h.options.Self.Incarnation,
 		Configuration: h.reservable.Load,
 		Tickets:       h.office,
-		Ledger:        &ledger.Ledger{},
+		Ledger:        h.ledger,
 		Hosts:         hosts{h},
 		Peer:          h.options.Peer,
 		Servers:       servers,
@@ -183,8 +196,9 @@
 		Quota:         h.quota,
 		Inspection:    h.inspector,
 		Admission:     gate,
-		Hedging:       h.policy.hedging,
+		Hedging:       h.hedging,
 		Recorder:      h.options.Recorder,
+		Tracer:        h.options.Tracer,
 	})
 }
 
@@ -201,6 +215,8 @@
 	}
 	<-ctx.Done()
 	h.background.Wait()
+	// It fails only for a foreign registration.
+	_ = h.metering.Unregister()
 }
 
 // BeginStop makes the host not ready, so that the load balancer sends no more
@@ -245,9 +261,7 @@
 func (h *Host) Reserve(ctx context.Context, reservation ebonyworks.Reservation) ebonyworks.Outcome {
 	start := time.Now()
 	outcome := h.runner.Reserve(ctx, reservation)
-	if h.options.Observer != nil {
-		h.options.Observer.ReservationEnded(reservation.Route, outcome, time.Since(start))
-	}
+	observer{h}.ReservationEnded(reservation.Route, outcome, time.Since(start))
 	return outcome
 }
 
