--- a/daemon/process.go
+++ b/daemon/process.go
@@ -21,6 +21,7 @@
 	"github.com/ebonyworks/ebonyworks/entry"
 	"github.com/ebonyworks/ebonyworks/event"
 	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/recording"
 	"github.com/ebonyworks/ebonyworks/settings"
 	"github.com/ebonyworks/ebonyworks/telemetry"
 	"github.com/ebonyworks/ebonyworks/transport/counter"
@@ -54,6 +55,8 @@
 	recorder  *event.Recorder
 	telemetry *telemetry.Telemetry
 	backend   *stockroom.Client
+	// recording is nil unless the settings name a file.
+	recording *recording.Recorder
 	peers     *courier.Client
 	host      *entry.Host
 	// listeners are open from listen until the end of the run.
@@ -165,6 +168,10 @@
 		return err
 	}
 	p.backend = stockroom.NewClient(stockroom.Options{LocalAddress: p.settings.Peers.Addr(), Recorder: p.recorder})
+	backend, err := p.recorded(p.backend)
+	if err != nil {
+		return err
+	}
 	p.peers = courier.NewClient(nil)
 	options := entry.Options{
 		Self: ebonyworks.Host{
@@ -177,7 +184,7 @@
 		},
 		Seeds:     p.seeds(),
 		Keys:      keys,
-		Backend:   p.backend,
+		Backend:   backend,
 		Platform:  noticeboard.NewClient(noticeboard.Options{Address: p.settings.Platform}),
 		Peer:      p.peers,
 		Documents: notice.Codec{},
@@ -231,9 +238,13 @@
 }
 
 func (p *process) callerServer() *http.Server {
+	var host recording.Host = p.host
+	if p.recording != nil {
+		host = p.recording.Callers(p.host)
+	}
 	api := &counter.Counter{
-		Searcher:     p.host,
-		Reserver:     p.host,
+		Searcher:     host,
+		Reserver:     host,
 		Status:       p.host,
 		Routes:       p.host,
 		MaxBodyBytes: int64(p.settings.Limits.BodyBytes),
@@ -352,6 +363,7 @@
 			_ = listener.Close()
 		}
 	}
+	p.closeRecording()
 	for _, closer := range p.closers {
 		_ = closer.Close()
 	}
--- a/event/process.go
+++ b/event/process.go
@@ -17,6 +17,11 @@
 	ProcessStopping ebonyworks.EventID = 1005
 	// ProcessStopped is recorded when a planned stop has ended.
 	ProcessStopped ebonyworks.EventID = 1006
+	// RecordingStarted is recorded when requests are being recorded to a file.
+	RecordingStarted ebonyworks.EventID = 1101
+	// RecordingIncomplete is recorded at the end of a recording that left out
+	// requests or couldn't be written.
+	RecordingIncomplete ebonyworks.EventID = 1102
 )
 
 var processEntries = []Entry{
@@ -26,4 +31,6 @@
 	{ID: SettingsNeedRestart, Level: Warning, Message: "changed settings need a restart", Action: "Restart the host to apply the named fields."},
 	{ID: ProcessStopping, Level: Info, Message: "process is stopping", Action: "None."},
 	{ID: ProcessStopped, Level: Info, Message: "process stopped", Action: "None."},
+	{ID: RecordingStarted, Level: Warning, Message: "requests are being recorded", Action: "Expected only for trials: the file holds keys and rows."},
+	{ID: RecordingIncomplete, Level: Warning, Message: "recording is incomplete", Action: "Record a shorter time or a lower rate, or check the space for the file."},
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -83,6 +83,7 @@
 		Policy:     Policy(wire.Policy),
 		StopBound:  time.Duration(wire.StopBound),
 		Log:        l.log(wire.Log),
+		Recording:  wire.Recording,
 	}
 	if settings.StopBound < 0 {
 		l.add("StopBound", "must not be negative, not %v", settings.StopBound)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,8 @@
 	// Policy is how replicas are chosen; all but PolicyAdaptive are baselines
 	// for experiments.
 	Policy Policy
+	// Recording is the file to which requests are recorded; empty for none.
+	Recording string
 }
 
 // Policy is a way to choose replicas and to hedge.
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -23,6 +23,7 @@
 	StopBound  document.Duration `json:",omitzero"`
 	Log        logWire           `json:",omitzero"`
 	Policy     policyWire        `json:",omitzero"`
+	Recording  string            `json:",omitempty"`
 }
 
 type ticketKeyWire struct {
