--- a/recording/player.go
+++ b/recording/player.go
@@ -13,7 +13,10 @@
 const (
 	// window is how far the recorded time of a reply may be from the time at
 	// which it is played. Beyond it the state of the server can have changed.
-	window = 500 * time.Millisecond
+	window = 200 * time.Millisecond
+	// refusalWindow is the same for refusals and failures that follow from the
+	// state of the server. It is shorter, since the state just changed.
+	refusalWindow = 50 * time.Millisecond
 	// refusalLatency is the time of answers that no recorded reply gives.
 	refusalLatency = time.Millisecond
 )
@@ -181,7 +184,7 @@
 // answer chooses the answer to an attempt at the time.
 func (p *Player) answer(asked Attempt, now time.Duration) (Attempt, Source) {
 	for i, recorded := range p.attempts {
-		near := asked.Kind == ReserveKind || (recorded.At-now).Abs() <= window
+		near := asked.Kind == ReserveKind || (recorded.At-now).Abs() <= recorded.window()
 		if p.used[i] || !near || recorded.Server != asked.Server || !sameRequest(recorded, asked) {
 			continue
 		}
@@ -197,6 +200,15 @@
 	return p.derive(asked, now)
 }
 
+func (a Attempt) window() time.Duration {
+	switch a.Result {
+	case ebonyworks.AttemptSnapshotGone, ebonyworks.AttemptDraining, ebonyworks.AttemptUnreachable:
+		return refusalWindow
+	default:
+		return window
+	}
+}
+
 // uncancelled answers an attempt that the recorded host gave up: the server
 // took at least that long, and is taken to be as slow as it ever was.
 func (p *Player) uncancelled(recorded Attempt, now time.Duration) (Attempt, Source) {
@@ -232,13 +244,15 @@
 	case report.Leaving || state.Result == ebonyworks.AttemptDraining:
 		answer.Result = ebonyworks.AttemptDraining
 		return answer, Derived
-	case asked.Kind == SearchKind && report.Server != "" && !slices.Contains(report.Snapshots, asked.Snapshot):
+	case asked.Kind == SearchKind && !p.holds(asked, now):
 		answer.Result = ebonyworks.AttemptSnapshotGone
 		return answer, Derived
 	}
 	donor, ok := p.donor(asked)
 	if !ok {
-		return refuse(asked), Unanswered
+		refused := refuse(asked)
+		refused.Reply.Report = without(report, asked.Snapshot)
+		return refused, Unanswered
 	}
 	answer.Result, answer.Latency, answer.Request = donor.Result, donor.Latency, donor.Request
 	answer.Reply = donor.Reply
@@ -246,13 +260,26 @@
 	return answer, Derived
 }
 
+// refuse answers a request for which nothing is recorded. The result proves that
+// nothing ran. For a search, it makes the host try a snapshot that is recorded.
 func refuse(asked Attempt) Attempt {
 	asked.Result = ebonyworks.AttemptShed
+	if asked.Kind == SearchKind {
+		asked.Result = ebonyworks.AttemptSnapshotGone
+	}
 	asked.Latency = refusalLatency
 	asked.Reply = Reply{}
 	return asked
 }
 
+// without returns the report as that of a server that lacks the snapshot.
+func without(report ebonyworks.ServerReport, snapshot ebonyworks.Snapshot) ebonyworks.ServerReport {
+	report.Snapshots = slices.DeleteFunc(slices.Clone(report.Snapshots), func(held ebonyworks.Snapshot) bool {
+		return held == snapshot
+	})
+	return report
+}
+
 func gone(result ebonyworks.AttemptResult) bool {
 	return result == ebonyworks.AttemptUnreachable || result == ebonyworks.AttemptLost
 }
@@ -275,6 +302,23 @@
 	return state, known
 }
 
+// holds reports whether the last report by the time or the next one after it
+// lists the snapshot, or whether the server sent no report.
+func (p *Player) holds(asked Attempt, now time.Duration) bool {
+	reported, held := false, false
+	for _, attempt := range p.attempts {
+		if attempt.Server != asked.Server || attempt.Reply.Report.Server == "" {
+			continue
+		}
+		listed := slices.Contains(attempt.Reply.Report.Snapshots, asked.Snapshot)
+		if attempt.At+attempt.Latency > now {
+			return held || listed
+		}
+		reported, held = true, listed
+	}
+	return held || !reported
+}
+
 // donor returns a recorded attempt for the same request at another server,
 // whose reply stands for that of the asked one. Replicas hold the same rows. A
 // request that no server survived is taken to end every server.
