Count proof of a safe request that arrives with the last shard, and clear deaths after a hedge

Two causes in search: - provenSafe selected between proven and hopeless while both were closed and took either at random, so that a search with proof gave up its second try. - A hedge that was in flight when its server died completed the shard, but the run had given its one proof before, so the death stayed uncleared. Ruled out: the retry budget (510 of 100 needed when the retry was dropped).

--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -23,6 +23,8 @@
 	asked    []ebonyworks.ServerID
 	inFlight int
 	reason   ebonyworks.MissReason
+	// lost is set once a server went away under the request.
+	lost bool
 	// waiting is set once the shard has waited for proof from other shards.
 	waiting bool
 }
@@ -68,8 +70,10 @@
 		case end := <-s.results:
 			s.inFlight--
 			if end.result.covered {
+				s.survived()
 				return end.result
 			}
+			s.lost = s.lost || end.record.Result == ebonyworks.AttemptLost
 			s.reason = end.result.reason
 			s.retry(ctx, end.record)
 		case <-hedge.C:
@@ -82,6 +86,15 @@
 	return s.missed()
 }
 
+// survived clears the death of an earlier attempt. A hedge that was in flight
+// then is a second try, too; without this, the run's earlier proof would leave
+// the death standing, and later copies would be refused.
+func (s *shardRun) survived() {
+	if s.lost {
+		s.run.coordinator.Inspection.Survived(s.run.request.fingerprint)
+	}
+}
+
 // hedge starts a second attempt if it is worth it and the budget allows it.
 func (s *shardRun) hedge(ctx context.Context) {
 	policy := s.run.coordinator.Hedging
@@ -121,11 +134,16 @@
 	s.waiting = true
 	select {
 	case <-s.run.proven:
-		inspection.Survived(s.run.request.fingerprint)
-		return true
 	case <-s.run.hopeless:
-		return false
 	case <-ctx.Done():
+	}
+	// The proof counts even if other cases are ready, too: the shards that gave
+	// it have ended, and a select takes any of the ready cases.
+	select {
+	case <-s.run.proven:
+		inspection.Survived(s.run.request.fingerprint)
+		return true
+	default:
 		return false
 	}
 }
