--- a/recording/player.go
+++ b/recording/player.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/ebonyworks/ebonyworks"
 )
 
@@ -169,7 +171,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 		answer.Result = ebonyworks.AttemptTimeout
-		if context.Cause(ctx) == context.Canceled {
+		if errors.Is(ctx.Err(), context.Canceled) {
 			answer.Result = ebonyworks.AttemptCancelled
 		}
 		answer.Reply = Reply{}
--- a/recording/wire.go
+++ b/recording/wire.go
@@ -129,7 +129,7 @@
 type resultWire ebonyworks.AttemptResult
 
 // resultNames are the names of attempt results, by value.
-var resultNames = []string{"Lost", "Served", "Shed", "Draining", "SnapshotGone", "Expired", "Unreachable", "Timeout", "Cancelled", "Invalid", "Rejected"}
+var resultNames = []string{"Lost", "Served", "Shed", "Draining", "SnapshotGone", "Expired", "Unreachable", "Timeout", "Canceled", "Invalid", "Rejected"}
 
 // MarshalText returns the name of the result.
 func (r resultWire) MarshalText() ([]byte, error) { return nameOf(resultNames, int(r)) }
