--- a/coordination/search/tail_test.go
+++ b/coordination/search/tail_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/hedging"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging/fixed"
 	"github.com/ebonyworks/ebonyworks/coordination/hedging/never"
 )
 
@@ -27,6 +28,10 @@
 // tailLimit is the time within which 99 in 100 queries must complete.
 const tailLimit = 56 * time.Millisecond
 
+// lateDelay is above the 99.9th percentile of the normal service time, so that
+// hedges after it go to slow replies almost only.
+const lateDelay = 20 * time.Millisecond
+
 // tailCase is a distribution of the time that a server takes: log-normal as
 // that of the stand-in (mean 4 ms, sigma 0.5), and a share of slow replies.
 type tailCase struct {
@@ -112,6 +117,7 @@
 		for _, shards := range sizes {
 			alone, _ := tail(t, c, shards, searches, never.Hedging{})
 			hedged, extra := tail(t, c, shards, searches, &hedging.Budget{})
+			late, extraLate := tail(t, c, shards, searches, fixed.Delay(lateDelay))
 			within := func(times []time.Duration) float64 {
 				index, _ := slices.BinarySearch(times, tailLimit+1)
 				return 100 * float64(index) / float64(len(times))
@@ -119,8 +125,9 @@
 			at := func(times []time.Duration, share float64) time.Duration {
 				return times[int(share*float64(len(times)))].Round(100 * time.Microsecond)
 			}
-			t.Logf("| %s | %d | %s | %s | %.1f%% | %s | %s | %.1f%% | %.1f%% |", c.name, shards,
-				at(alone, 0.5), at(alone, 0.99), within(alone), at(hedged, 0.5), at(hedged, 0.99), within(hedged), 100*extra)
+			t.Logf("| %s | %d | %s | %s | %.1f%% | %s | %s | %.1f%% | %.1f%% | %s | %.1f%% | %.1f%% |", c.name, shards,
+				at(alone, 0.5), at(alone, 0.99), within(alone), at(hedged, 0.5), at(hedged, 0.99), within(hedged), 100*extra,
+				at(late, 0.99), within(late), 100*extraLate)
 			assert.LessOrEqual(t, extra, 0.06, "extra attempts")
 			if c.share >= 0.01 && c.share < 0.05 {
 				assert.Less(t, at(hedged, 0.5), at(alone, 0.5))
