Measure drain facts and bound the extra attempts of the tail test exactly

The bound of 6% failed with 10 searches, where the balance at the start weighs more than the budget.

--- /dev/null
+++ b/coordination/departure/benchmark_test.go
@@ -0,0 +1,48 @@
+package departure_test
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/departure"
+)
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkTracker measures the memory per server, the facts for one message
+// while a sixth of the servers is leaving, and the facts of a received message.
+func BenchmarkTracker(b *testing.B) {
+	for _, servers := range []int{100, 1000, 2400} {
+		before := heapBytes()
+		tracker := departure.New(departure.Config{})
+		for i := range servers {
+			tracker.Observe(ebonyworks.ServerReport{Server: ebonyworks.ServerID("server-" + strconv.Itoa(i)), Incarnation: 1, Leaving: i%6 == 0})
+		}
+		perServer := float64(heapBytes()-before) / float64(servers)
+		var message ebonyworks.Exchange
+		tracker.Contribute(&message, 300)
+		fresh := len(message.Departures)
+		b.Run("Contribute/servers="+strconv.Itoa(servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				tracker.Contribute(&ebonyworks.Exchange{}, 300)
+			}
+			b.ReportMetric(perServer, "B/server")
+			b.ReportMetric(float64(fresh), "facts")
+		})
+		b.Run("Absorb/servers="+strconv.Itoa(servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				tracker.Absorb(message, time.Now())
+			}
+		})
+	}
+}
--- a/coordination/search/tail_test.go
+++ b/coordination/search/tail_test.go
@@ -128,7 +128,8 @@
 			t.Logf("| %s | %d | %s | %s | %.1f%% | %s | %s | %.1f%% | %.1f%% | %s | %.1f%% | %.1f%% |", c.name, shards,
 				at(alone, 0.5), at(alone, 0.99), within(alone), at(hedged, 0.5), at(hedged, 0.99), within(hedged), 100*extra,
 				at(late, 0.99), within(late), 100*extraLate)
-			assert.LessOrEqual(t, extra, 0.06, "extra attempts")
+			// The budget is 5% and what its balance held at the start, at most 50.
+			assert.LessOrEqual(t, extra, 0.05+50/float64(shards*searches), "extra attempts")
 			if c.share >= 0.01 && c.share < 0.05 {
 				assert.Less(t, at(hedged, 0.5), at(alone, 0.5))
 			}
