Compare medians in the tail test only where the tail reaches them

With 20 shards and 1 in 100 slow, 82% of the searches have no slow shard, so the medians with and without hedging are equal up to chance. The normal run, with 100 shards, is as strict as before.

--- a/coordination/search/tail_test.go
+++ b/coordination/search/tail_test.go
@@ -130,7 +130,8 @@
 				at(late, 0.99), within(late), 100*extraLate)
 			// The budget is 5% and what its balance held at the start, at most 50.
 			assert.LessOrEqual(t, extra, 0.05+50/float64(shards*searches), "extra attempts")
-			if c.share >= 0.01 && c.share < 0.05 {
+			// Where most searches have no slow shard, the median isn't the tail.
+			if c.share >= 0.01 && c.share < 0.05 && shards >= 100 {
 				assert.Less(t, at(hedged, 0.5), at(alone, 0.5))
 			}
 		}
