Take no latency from status replies, and probe failing servers by them only

Cause: each status reply counted as a served request that took no time. Once a second it made every server look fast, so stragglers were never recognized: in the scenario with one straggler in each service they kept a fifth of the first attempts, and p50 doubled. Failing servers are no longer probed by callers' searches: with one replica of each service lost, the retries after failed probes used up the budget and shards were missed (no_server) in the test of whole hosts. The register's test follows the new rule with the same bounds on the intervals.

--- a/coordination/search/benchmark_test.go
+++ b/coordination/search/benchmark_test.go
@@ -106,6 +106,10 @@
 	quota    ebonyworks.Quota
 }
 
+func (r registered) FirstCandidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
+	return r.Candidates(service, route)
+}
+
 func (r registered) Candidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
 	return r.register.Candidates(service, route, "1", r.quota)
 }
--- a/coordination/search/search.go
+++ b/coordination/search/search.go
@@ -27,6 +27,9 @@
 type Directory interface {
 	// Candidates returns the usable servers of the service on the route.
 	Candidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate
+	// FirstCandidates is like Candidates, and can offer a server that needs to
+	// be probed as the best one. It is called once for each first attempt.
+	FirstCandidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate
 	// Observe learns from an ended attempt.
 	Observe(record ebonyworks.AttemptRecord)
 }
--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -51,7 +51,7 @@
 		reason:  ebonyworks.MissNoServer,
 	}
 	defer s.ended()
-	candidate, ok := s.choose()
+	candidate, ok := s.chooseFirst()
 	if !ok {
 		return s.missed()
 	}
@@ -156,7 +156,17 @@
 // choose selects the server for the next attempt, and returns false if none is
 // left.
 func (s *shardRun) choose() (ebonyworks.Candidate, bool) {
-	candidates := s.remaining()
+	return s.selected(s.remaining())
+}
+
+// chooseFirst selects the server for the first attempt.
+func (s *shardRun) chooseFirst() (ebonyworks.Candidate, bool) {
+	coordinator := s.run.coordinator
+	offered := coordinator.Directory.FirstCandidates(s.shard.service, s.run.request.route)
+	return s.selected(s.run.eligible(offered, nil))
+}
+
+func (s *shardRun) selected(candidates []ebonyworks.Candidate) (ebonyworks.Candidate, bool) {
 	index, ok := s.run.coordinator.Selection.Select(candidates)
 	if !ok {
 		return ebonyworks.Candidate{}, false
@@ -194,8 +204,11 @@
 // candidates returns the usable servers that weren't asked and aren't known to
 // lack the snapshot.
 func (r *run) candidates(shard shardPlan, asked []ebonyworks.ServerID) []ebonyworks.Candidate {
-	all := r.coordinator.Directory.Candidates(shard.service, r.request.route)
-	return slices.DeleteFunc(all, func(candidate ebonyworks.Candidate) bool {
+	return r.eligible(r.coordinator.Directory.Candidates(shard.service, r.request.route), asked)
+}
+
+func (r *run) eligible(candidates []ebonyworks.Candidate, asked []ebonyworks.ServerID) []ebonyworks.Candidate {
+	return slices.DeleteFunc(candidates, func(candidate ebonyworks.Candidate) bool {
 		if slices.Contains(asked, candidate.Server.ID) {
 			return true
 		}
--- a/coordination/search/world_test.go
+++ b/coordination/search/world_test.go
@@ -333,4 +333,8 @@
 	return candidates
 }
 
+func (d directory) FirstCandidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
+	return d.Candidates(service, route)
+}
+
 func (directory) Observe(ebonyworks.AttemptRecord) {}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -153,6 +153,37 @@
 	})
 }
 
+// Guards against a straggler that goes on getting its share of the searches, and
+// against one that gets none after it has recovered.
+func TestStragglersAreAvoidedUntilTheyRecover(t *testing.T) {
+	run(t, func(t *testing.T, s *site) {
+		// slowShare searches for a while and returns the share of the first
+		// replicas in the requests that servers ran.
+		slowShare := func(searches int) float64 {
+			var first, all int
+			s.each(kitakaze.StockFinder, func(_ int, server *backend) { server.started = 0 })
+			for i := range searches {
+				time.Sleep(20 * time.Millisecond)
+				s.search(i % fleetSize)
+			}
+			s.each(kitakaze.StockFinder, func(index int, server *backend) {
+				all += server.started
+				if index == 0 {
+					first += server.started
+				}
+			})
+			return float64(first) / float64(all)
+		}
+		slowShare(100)
+		s.each(kitakaze.StockFinder, func(index int, server *backend) { server.slow = index == 0 })
+		slowShare(250)
+		assert.Less(t, slowShare(250), 0.1)
+		s.each(kitakaze.StockFinder, func(_ int, server *backend) { server.slow = false })
+		slowShare(1500)
+		assert.Greater(t, slowShare(250), 0.25)
+	})
+}
+
 // Guards against refusing searches that completed before, and against missed
 // shards, when servers go away for other reasons while they run them.
 func TestCrashesForOtherReasonsRefuseNothing(t *testing.T) {
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -12,11 +12,21 @@
 	host *Host
 }
 
-// Candidates returns the servers that may get new work. Failing servers are
-// probed by status requests only, so that no search waits for a probe.
+// Candidates returns the servers that may get new work.
 func (s *servers) Candidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
-	h := s.host
+	// The register offers due probes to search routes only.
 	route.Kind = ebonyworks.ReservationRoute
+	return s.usable(service, route)
+}
+
+// FirstCandidates returns the servers that may get the first attempt at a
+// shard. A slow server whose probe is due is offered as the fastest.
+func (s *servers) FirstCandidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
+	return s.usable(service, route)
+}
+
+func (s *servers) usable(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
+	h := s.host
 	all := h.register.Candidates(service, route, h.options.Self.Domain, h.quota)
 	usable := all[:0]
 	for _, candidate := range all {
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -83,6 +83,8 @@
 	leaving     bool
 	// drained is when the drain began.
 	drained time.Time
+	// started counts the requests that the server began to run.
+	started int
 	// loses is set if the server drops the connection after it ran a request.
 	loses bool
 }
@@ -264,6 +266,7 @@
 		server.downUntil = now.Add(crashTime)
 		return 0, ebonyworks.AttemptLost
 	}
+	server.started++
 	duration := time.Duration(1+s.random.IntN(8)) * time.Millisecond
 	if server.slow {
 		duration *= 10
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -174,10 +174,10 @@
 // probes show that it has recovered, while that of other servers decays. It
 // counts as far.
 //
-// When the probe of a failing or slow server is due, one call for a search
-// route gets it as not failing and with the lowest latency, so that it is
-// chosen. Reservations never serve as probes,
-// since a failed one can't be repeated.
+// When the probe of a slow server is due, one call for a search route gets it
+// with the lowest latency, so that it is chosen; the caller's hedge covers it.
+// Failing servers are probed by status requests only (Due): a search that fails
+// there needs a retry, and without budget it would miss a shard.
 func (r *Register) Candidates(
 	service *ebonyworks.Service,
 	route ebonyworks.Route,
@@ -381,6 +381,10 @@
 func (r *Register) learnResult(known *record, attempt ebonyworks.AttemptRecord, now time.Time) {
 	switch attempt.Result {
 	case ebonyworks.AttemptServed:
+		if attempt.Latency == 0 {
+			r.answer(known, attempt.Server, now)
+			return
+		}
 		r.succeed(known, attempt.Server, now)
 		known.sample(now, attempt.Latency)
 	case ebonyworks.AttemptShed:
@@ -415,6 +419,20 @@
 	}
 }
 
+// answer learns from the reply to a status request, which takes no slot and
+// states no latency. A failing server is used again, but the next failure marks
+// it as failing at once, with a longer interval: it can answer such requests
+// and still fail others.
+func (r *Register) answer(known *record, server ebonyworks.ServerID, now time.Time) {
+	known.refreshed = now
+	if !known.failing() {
+		return
+	}
+	r.record(event.ServerRecovered, server)
+	known.failures = failuresUntilFailing - 1
+	known.probing = true
+}
+
 func (r *Register) fail(known *record, server ebonyworks.ServerID, count int, now time.Time) {
 	wasFailing := known.failing()
 	known.failures = min(known.failures+count, 2*failuresUntilFailing)
@@ -523,8 +541,7 @@
 		candidate.Queued = known.queued
 	}
 	candidate.Failing = known.failing()
-	if (candidate.Failing || known.slow) && mayProbe && r.takeProbe(known, now) {
-		candidate.Failing = false
+	if known.slow && !candidate.Failing && mayProbe && r.takeProbe(known, now) {
 		candidate.Latency = time.Nanosecond
 	}
 }
--- a/state/register/register_test.go
+++ b/state/register/register_test.go
@@ -147,7 +147,8 @@
 }
 
 // Guards against probes that hammer a dead server, against a server that is
-// never tried again, and against reservations that serve as probes.
+// never tried again, against callers' requests that serve as probes, and
+// against a server that answers status requests and fails all others.
 func TestProbesOfFailingServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegister()
@@ -159,10 +160,11 @@
 		for range 600 {
 			time.Sleep(50 * time.Millisecond)
 			require.True(t, failing(reservations))
-			if failing(searches) {
+			require.True(t, failing(searches))
+			if len(r.Due(service.Servers[:1], 1)) == 0 {
 				continue
 			}
-			require.True(t, failing(searches), "the probe must be given out once")
+			require.Empty(t, r.Due(service.Servers[:1], 1), "the probe must be given out once")
 			gaps = append(gaps, time.Since(last))
 			last = time.Now()
 			r.Observe(attempt(ebonyworks.AttemptUnreachable, 0, 0, false))
@@ -171,8 +173,16 @@
 		assert.Less(t, len(gaps), 20)
 		assert.Greater(t, gaps[len(gaps)-1], 2*time.Second)
 		assert.LessOrEqual(t, gaps[len(gaps)-1], 8*time.Second)
+		answered := attempt(ebonyworks.AttemptServed, 0, 0, false)
+		r.Observe(answered)
+		assert.False(t, failing(searches), "a server that answers is used again")
+		r.Observe(attempt(ebonyworks.AttemptLost, time.Millisecond, 0, false))
+		assert.True(t, failing(searches), "one failure after the answer is enough")
+		assert.Empty(t, r.Due(service.Servers[:1], 1), "the interval goes on growing")
+		r.Observe(answered)
 		r.Observe(attempt(ebonyworks.AttemptServed, time.Millisecond, 0, false))
-		assert.False(t, failing(reservations))
+		r.Observe(attempt(ebonyworks.AttemptLost, time.Millisecond, 0, false))
+		assert.False(t, failing(searches), "a served request ends the state")
 	})
 }
 
