Probe slow servers with copies of requests instead of the requests themselves

Cause: with one straggler in each of 20 services, about one search in five held a probe of a straggler as its first attempt and waited for a hedge. A probe is now a copy, paid from the budget of hedges, that runs to its end so that the latency is seen in full. Ruled out: canceling the copy when the other reply wins, which leaves only lower bounds.

--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -51,11 +51,9 @@
 		reason:  ebonyworks.MissNoServer,
 	}
 	defer s.ended()
-	candidate, ok := s.chooseFirst()
-	if !ok {
+	if !s.startFirst(ctx) {
 		return s.missed()
 	}
-	s.start(ctx, candidate, false, false)
 	return s.collect(ctx)
 }
 
@@ -159,11 +157,34 @@
 	return s.selected(s.remaining())
 }
 
-// chooseFirst selects the server for the first attempt.
-func (s *shardRun) chooseFirst() (ebonyworks.Candidate, bool) {
+// startFirst starts the first attempt, and returns false if no server is left.
+// If a slow server needs a probe, it gets a copy of the request from the budget
+// of hedges: a probe in place of the attempt would make the caller wait.
+func (s *shardRun) startFirst(ctx context.Context) bool {
 	coordinator := s.run.coordinator
-	offered := coordinator.Directory.FirstCandidates(s.shard.service, s.run.request.route)
-	return s.selected(s.run.eligible(offered, nil))
+	offered := s.run.eligible(coordinator.Directory.FirstCandidates(s.shard.service, s.run.request.route), nil)
+	candidate, ok := s.selected(offered)
+	if !ok {
+		return false
+	}
+	s.start(ctx, candidate, false, false)
+	for _, slow := range offered {
+		if slow.Probe && slow.Server.ID != candidate.Server.ID && coordinator.Hedging.AllowHedge(s.shard.service.ID) {
+			s.probe(ctx, slow)
+		}
+	}
+	return true
+}
+
+// probe sends a copy of the request that isn't canceled when another reply
+// wins, so that its latency is seen in full. It ends with the deadline.
+func (s *shardRun) probe(ctx context.Context, slow ebonyworks.Candidate) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	s.launch(detached, cancel, s.attempt(slow, true, false))
 }
 
 func (s *shardRun) selected(candidates []ebonyworks.Candidate) (ebonyworks.Candidate, bool) {
@@ -176,9 +197,11 @@
 
 // start runs an attempt at the server.
 func (s *shardRun) start(ctx context.Context, candidate ebonyworks.Candidate, hedge, retry bool) {
-	s.asked = append(s.asked, candidate.Server.ID)
-	s.inFlight++
-	attempt := attempt{
+	s.launch(ctx, func() {}, s.attempt(candidate, hedge, retry))
+}
+
+func (s *shardRun) attempt(candidate ebonyworks.Candidate, hedge, retry bool) attempt {
+	return attempt{
 		run:         s.run,
 		shard:       s.shard,
 		server:      candidate.Server,
@@ -187,7 +210,13 @@
 		retry:       retry,
 		won:         &s.won,
 	}
+}
+
+func (s *shardRun) launch(ctx context.Context, release context.CancelFunc, attempt attempt) {
+	s.asked = append(s.asked, attempt.server.ID)
+	s.inFlight++
 	go func() {
+		defer release()
 		result, record := attempt.do(ctx)
 		s.results <- &attemptEnd{result: result, record: record}
 	}()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -23,6 +23,8 @@
 		s := newSite(t, 1, fleetSize)
 		s.awaitReady()
 		test(t, s)
+		// Probes of slow servers end with the deadline of their search.
+		time.Sleep(time.Second)
 		s.close()
 	})
 }
--- a/policy.go
+++ b/policy.go
@@ -29,6 +29,9 @@
 	// Failing is set while recent attempts failed. A failing server is used
 	// only if no other is left.
 	Failing bool
+	// Probe is set if the server is slow and should get a copy of a request, to
+	// see if it has recovered. The request itself goes to another server.
+	Probe bool
 }
 
 // Selection chooses among replicas.
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -99,8 +99,10 @@
 	// best is the typical latency of the best replica when last compared.
 	best time.Duration
 	// slow is set while the typical latency is far above that of a replica.
-	slow     bool
-	failures int
+	slow bool
+	// promising is set if the last sample of a slow server was a good one.
+	promising bool
+	failures  int
 	// interval is the next time between probes, before jitter.
 	interval  time.Duration
 	nextProbe time.Time
@@ -175,7 +177,8 @@
 // counts as far.
 //
 // When the probe of a slow server is due, one call for a search route gets it
-// with the lowest latency, so that it is chosen; the caller's hedge covers it.
+// marked as Probe, or after a good probe with the lowest latency, so that it is
+// chosen.
 // Failing servers are probed by status requests only (Due): a search that fails
 // there needs a retry, and without budget it would miss a shard.
 func (r *Register) Candidates(
@@ -521,6 +524,7 @@
 		known.slow = false
 	case !known.slow && factor > slowFactor && known.typical > best+slowSlack:
 		known.slow = true
+		known.promising = false
 		known.interval = firstSlowInterval
 		known.nextProbe = now.Add(r.jitter(known.interval))
 	}
@@ -542,8 +546,19 @@
 	}
 	candidate.Failing = known.failing()
 	if known.slow && !candidate.Failing && mayProbe && r.takeProbe(known, now) {
+		known.offer(candidate)
+	}
+}
+
+// offer marks the candidate for the probe that is due. After a good probe the
+// next ones take the place of attempts: copies would use up the budget of hedges
+// when many servers recover together.
+func (k *record) offer(candidate *ebonyworks.Candidate) {
+	if k.promising {
 		candidate.Latency = time.Nanosecond
+		return
 	}
+	candidate.Probe = true
 }
 
 // takeProbe reports whether a probe is due, and gives it to this caller only.
@@ -643,6 +658,7 @@
 
 // shorten sets the interval between probes of a slow server after a good one.
 func (k *record) shorten(latency time.Duration) {
+	k.promising = latency < slowFactor*k.best
 	if float64(latency) < normalFactor*float64(k.best) {
 		k.interval = max(k.interval/4, firstSlowInterval)
 	}
--- a/state/register/register_test.go
+++ b/state/register/register_test.go
@@ -219,7 +219,7 @@
 					r.Observe(other)
 					assert.GreaterOrEqual(t, first(reservations).Latency, 3*fast)
 					assert.False(t, first(reservations).Near)
-					if first(searches).Latency == time.Nanosecond {
+					if offered := first(searches); offered.Probe || offered.Latency == time.Nanosecond {
 						probes++
 						r.Observe(test.sample)
 					}
@@ -230,7 +230,7 @@
 				for !first(reservations).Near {
 					time.Sleep(50 * time.Millisecond)
 					r.Observe(other)
-					if first(searches).Latency == time.Nanosecond {
+					if offered := first(searches); offered.Probe || offered.Latency == time.Nanosecond {
 						r.Observe(attempt(ebonyworks.AttemptServed, fast, 0, false))
 					}
 				}
