--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -109,7 +109,7 @@
 
 // retry starts another attempt after a failed one if nothing else is in flight.
 func (s *shardRun) retry(ctx context.Context, failed ebonyworks.AttemptRecord) {
-	if true || len(s.remaining()) == 0 {
+	if s.inFlight > 0 || ctx.Err() != nil || len(s.remaining()) == 0 {
 		return
 	}
 	if failed.Result == ebonyworks.AttemptLost && !s.provenSafe(ctx) {
