Share the in-process network and platform, and make the dissemination model a command

Cause: two test packages had their own copies of an in-process network of hosts and of a platform; a third use for embedders is likely. They are now standin/network and standin/values.

--- a/cmd/ebony-load/root.go
+++ b/cmd/ebony-load/root.go
@@ -84,7 +84,7 @@
 	}
 	root.SetFlagErrorFunc(usage)
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(newRun(), newList(), newSetup(), newTable(), newPlot())
+	root.AddCommand(newRun(), newList(), newSetup(), newTable(), newPlot(), newDissemination())
 	return root
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -102,8 +102,8 @@
 				server.drained = time.Now()
 			})
 		},
-		"platform down": func(s *site) { s.change(func() { s.outage = true }) },
-		"host cut off":  func(s *site) { s.change(func() { s.hosts[1].cut = true }) },
+		"platform down": func(s *site) { s.values.SetOutage(true) },
+		"host cut off":  func(s *site) { s.network.Cut(address(1), true) },
 	}
 	for name, inject := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -276,18 +276,16 @@
 func TestConfigurationInForceEverywhere(t *testing.T) {
 	run(t, func(t *testing.T, s *site) {
 		base := s.hosts[0].host.Status().Mark
-		s.change(func() { s.hosts[2].cut = true })
+		s.network.Cut(address(2), true)
 		for revision := ebonyworks.Revision(2); revision < 6; revision++ {
 			base = s.publish(revision, base)
 			time.Sleep(5 * time.Second)
 			assert.Equal(t, base, s.hosts[0].host.Status().Mark)
 			assert.Equal(t, base, s.hosts[1].host.Status().Mark)
 			// From revision 5 on only host 1 can read the platform.
-			s.change(func() {
-				s.hosts[0].blind = revision >= 4
-				s.hosts[2].blind = revision >= 4
-				s.hosts[2].cut = revision < 4
-			})
+			s.hosts[0].blind.Store(revision >= 4)
+			s.hosts[2].blind.Store(revision >= 4)
+			s.network.Cut(address(2), revision < 4)
 		}
 		assert.Equal(t, base, s.hosts[2].host.Status().Mark)
 	})
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -7,10 +7,10 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -19,6 +19,8 @@
 	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
 	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/standin/network"
+	"github.com/ebonyworks/ebonyworks/standin/values"
 	"github.com/ebonyworks/ebonyworks/telemetry"
 )
 
@@ -33,8 +35,6 @@
 	retained = 4
 )
 
-var errUnreachable = errors.New("unreachable")
-
 // site is a whole deployment with fakes at the interfaces of the hosts.
 type site struct {
 	t             *testing.T
@@ -47,8 +47,8 @@
 	random  *rand.Rand
 	hosts   []*member
 	servers map[ebonyworks.ServerID]*backend
-	values  map[ebonyworks.Key]ebonyworks.Value
-	outage  bool
+	values  values.Values
+	network network.Network
 	// epoch is the partition epoch of all snapshots.
 	epoch ebonyworks.PartitionEpoch
 	// shards lists the shards of reservations as they reached servers.
@@ -69,10 +69,8 @@
 	host    *entry.Host
 	cancel  context.CancelFunc
 	done    chan struct{}
-	// cut is set while nothing reaches the host or leaves it for other hosts.
-	cut bool
 	// blind is set while the host can't reach the platform.
-	blind bool
+	blind atomic.Bool
 }
 
 // backend is the state of one fake server.
@@ -95,7 +93,7 @@
 		plan:       kitakaze.Plan(operator.Addresses{}),
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		servers:    make(map[ebonyworks.ServerID]*backend),
-		values:     make(map[ebonyworks.Key]ebonyworks.Value),
+		network:    network.Network{Delay: networkDelay},
 		newest:     5,
 		epoch:      1,
 		executions: make(map[string]int),
@@ -123,10 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configuration = configuration
-	for _, value := range publication.Values() {
-		value.Version = s.values[value.Key].Version + 1
-		s.values[value.Key] = value
-	}
+	s.values.Publish(publication.Values())
 	return publication.Mark()
 }
 
@@ -140,8 +135,8 @@
 		Seeds:     []netip.AddrPort{address(0), address(1), address(2)},
 		Keys:      []ticket.Key{key},
 		Backend:   m,
-		Platform:  m,
-		Peer:      link{m},
+		Platform:  sight{m},
+		Peer:      s.network.Link(m.address),
 		Documents: notice.Codec{},
 		HeadKey:   notice.HeadKey,
 		PartKey:   notice.PartKey,
@@ -155,6 +150,7 @@
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
+	s.network.Join(m.address, m.host)
 	s.mu.Lock()
 	if index < len(s.hosts) {
 		s.hosts[index] = m
@@ -176,10 +172,8 @@
 
 // kill ends a host without a planned stop.
 func (s *site) kill(index int) {
-	s.mu.Lock()
 	m := s.hosts[index]
-	m.cut = true
-	s.mu.Unlock()
+	s.network.Leave(m.address)
 	m.cancel()
 	<-m.done
 }
@@ -352,38 +346,28 @@
 	return m.site.report(server.ID, state), ebonyworks.AttemptServed
 }
 
-// Read returns a value of the fake platform.
-func (m *member) Read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
-	if err := travel(ctx, 2*time.Millisecond); err != nil {
-		return ebonyworks.Value{}, err
-	}
-	m.site.mu.Lock()
-	defer m.site.mu.Unlock()
-	value, ok := m.site.values[key]
-	if m.site.outage || m.blind || !ok {
-		return ebonyworks.Value{}, errUnreachable
+// sight is the platform as one host sees it.
+type sight struct {
+	*member
+}
+
+// Read returns a value unless the host can't reach the platform.
+func (v sight) Read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
+	if v.blind.Load() {
+		return ebonyworks.Value{}, values.ErrUnavailable
 	}
-	return value, nil
+	return v.site.values.Read(ctx, key)
 }
 
-// Watch waits for a newer value for up to 10 s.
-func (m *member) Watch(ctx context.Context, key ebonyworks.Key, after ebonyworks.Version) (ebonyworks.Value, error) {
-	for range 200 {
-		value, err := m.Read(ctx, key)
-		if err != nil || value.Version > after {
-			return value, err
-		}
-		if err := travel(ctx, 50*time.Millisecond); err != nil {
-			return ebonyworks.Value{}, err
-		}
+// Watch waits for a value unless the host can't reach the platform.
+func (v sight) Watch(ctx context.Context, key ebonyworks.Key, after ebonyworks.Version) (ebonyworks.Value, error) {
+	if v.blind.Load() {
+		return ebonyworks.Value{}, values.ErrUnavailable
 	}
-	return m.Read(ctx, key)
+	return v.site.values.Watch(ctx, key, after)
 }
 
 // Hosts returns an empty host list; hosts find each other by their seeds.
-func (m *member) Hosts(ctx context.Context) ([]ebonyworks.ListedHost, error) {
-	if err := travel(ctx, 2*time.Millisecond); err != nil {
-		return nil, err
-	}
-	return nil, nil
+func (v sight) Hosts(ctx context.Context) ([]ebonyworks.ListedHost, error) {
+	return v.site.values.Hosts(ctx)
 }
--- a/coordination/bulletin/dissemination_test.go
+++ b/load/dissemination/dissemination.go
@@ -1,20 +1,16 @@
-package bulletin_test
+// Package dissemination compares ways to tell all entry hosts of a new
+// configuration, in a model of messages without sockets. docs/dissemination.md
+// has its results.
+package dissemination
 
 import (
 	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
-
-	"github.com/stretchr/testify/assert"
 )
 
-// disseminationVariable is the environment variable with the number of seeds
-// for the table of docs/dissemination.md.
-const disseminationVariable = "EBONYWORKS_DISSEMINATION"
-
 // Sizes in bytes and times of the model of dissemination.
 const (
 	modelExchange  = 300
@@ -25,10 +21,11 @@
 	modelWatchers  = 3
 )
 
-// method is a way to spread one change. All methods but direct watches also
+// Method is a way to spread one change. All methods but direct watches also
 // have the periodic exchange of each host with a random peer.
-type method struct {
-	name string
+type Method struct {
+	// Name describes the method in tables.
+	Name string
 	// direct makes every host watch the service.
 	direct bool
 	// gossipSteps is the number of steps in which each reached host sends to
@@ -47,20 +44,23 @@
 	return func(size int) int { return int(math.Ceil(math.Log2(float64(size)/modelWatchers))) + extra }
 }
 
-var methods = []method{
-	{name: "direct watches", direct: true},
-	{name: "periodic push-pull only"},
-	{name: "push, fanout 3", fanout: 3},
-	{name: "push, fanout 6", fanout: 6},
-	{name: "gossip log2+1 steps, ring 2 (opportunistic)", gossipSteps: logSteps(1), ring: 2},
-	{name: "gossip log2+1 steps, ring 4 (opportunistic)", gossipSteps: logSteps(1), ring: 4},
-	{name: "gossip log2+1 steps, checked ring", gossipSteps: logSteps(1), checked: true},
-	{name: "push fanout 2 and ring 2 at once", fanout: 2, ring: 2},
+// Methods returns the methods that are compared; the last one is in use.
+func Methods() []Method {
+	return []Method{
+		{Name: "direct watches", direct: true},
+		{Name: "periodic push-pull only"},
+		{Name: "push, fanout 3", fanout: 3},
+		{Name: "push, fanout 6", fanout: 6},
+		{Name: "gossip log2+1 steps, ring 2 (opportunistic)", gossipSteps: logSteps(1), ring: 2},
+		{Name: "gossip log2+1 steps, ring 4 (opportunistic)", gossipSteps: logSteps(1), ring: 4},
+		{Name: "gossip log2+1 steps, checked ring", gossipSteps: logSteps(1), checked: true},
+		{Name: "push fanout 2 and ring 2 at once", fanout: 2, ring: 2},
+	}
 }
 
 // spreading is one run of the model.
 type spreading struct {
-	method   method
+	method   Method
 	random   *rand.Rand
 	loss     float64
 	dead     []bool
@@ -116,10 +116,11 @@
 func (s *spreading) lost() bool { return s.random.Float64() < s.loss }
 
 // spreadOnce runs the model once, with or without the periodic exchanges.
-func spreadOnce(m method, size int, seed uint64, loss, deadShare float64, periodic bool) result {
-	s := &spreading{method: m, random: rand.New(rand.NewPCG(seed, 7)), loss: loss}
+func spreadOnce(m Method, conditions Conditions, seed uint64, periodic bool) result {
+	size := conditions.Size
+	s := &spreading{method: m, random: rand.New(rand.NewPCG(seed, 7)), loss: conditions.Loss}
 	s.dead, s.reached, s.fetching, s.met = make([]bool, size), make([]bool, size), make([]bool, size), make([][2]bool, size)
-	for _, host := range s.random.Perm(size)[:int(math.Ceil(deadShare*float64(size)))] {
+	for _, host := range s.random.Perm(size)[:int(math.Ceil(conditions.Dead*float64(size)))] {
 		s.dead[host] = true
 	}
 	watchers := modelWatchers
@@ -279,57 +280,44 @@
 	s.correct(host, distance+1)
 }
 
-// summary is what many runs of one method measured.
-type summary struct {
-	p50, p99, most time.Duration
-	// missed is the mean number of hosts that the spread alone doesn't reach.
-	missed                 float64
-	messages, bytes, calls float64
+// Conditions are what a change meets.
+type Conditions struct {
+	// Size is the number of hosts.
+	Size int
+	// Loss is the share of messages that are lost.
+	Loss float64
+	// Dead is the share of hosts that are dead and believed alive.
+	Dead float64
 }
 
-func summarize(m method, size, seeds int, loss, deadShare float64) summary {
+// Summary is what many runs of one method measured.
+type Summary struct {
+	// P50, P99 and Most are the times to the last host that can be reached.
+	P50, P99, Most time.Duration
+	// Missed is the mean number of hosts that the spread alone doesn't reach.
+	Missed float64
+	// Messages and Bytes are means for each host, Calls the mean number of calls
+	// to the configuration service.
+	Messages, Bytes, Calls float64
+}
+
+// Summarize runs the method with the seeds from 1 to the given number.
+func (m Method) Summarize(conditions Conditions, seeds int) Summary {
 	var times []time.Duration
-	var total summary
+	var total Summary
+	size := float64(conditions.Size)
 	for seed := range seeds {
-		run := spreadOnce(m, size, uint64(seed+1), loss, deadShare, true)
-		alone := spreadOnce(m, size, uint64(seed+1), loss, deadShare, false)
+		run := spreadOnce(m, conditions, uint64(seed+1), true)
+		alone := spreadOnce(m, conditions, uint64(seed+1), false)
 		times = append(times, run.last)
-		total.missed += float64(alone.missed) / float64(seeds)
-		total.messages += float64(run.messages) / float64(seeds) / float64(size)
-		total.bytes += float64(run.bytes) / float64(seeds) / float64(size)
-		total.calls += float64(run.calls) / float64(seeds)
+		total.Missed += float64(alone.missed) / float64(seeds)
+		total.Messages += float64(run.messages) / float64(seeds) / size
+		total.Bytes += float64(run.bytes) / float64(seeds) / size
+		total.Calls += float64(run.calls) / float64(seeds)
 	}
 	slices.Sort(times)
-	total.p50, total.p99, total.most = times[len(times)/2], times[(len(times)*99)/100], times[len(times)-1]
+	total.P50 = times[len(times)/2]
+	total.P99 = times[(len(times)*99)/100]
+	total.Most = times[len(times)-1]
 	return total
 }
-
-// Guards the choice of docs/dissemination.md: the chosen method must reach all
-// hosts within the bound, with few platform calls, and must rarely need the
-// periodic exchange. With EBONYWORKS_DISSEMINATION=seeds it prints the table.
-func TestDissemination(t *testing.T) {
-	seeds := setting(t, disseminationVariable, 0)
-	chosen := methods[len(methods)-1]
-	for _, size := range []int{8, 100, 400} {
-		for _, loss := range []float64{0, 0.01, 0.05} {
-			for _, deadShare := range []float64{0, 0.05} {
-				result := summarize(chosen, size, 20, loss, deadShare)
-				assert.Less(t, result.most, bound)
-				assert.LessOrEqual(t, result.missed, 0.05*float64(size))
-				assert.LessOrEqual(t, result.calls, float64(4*modelWatchers))
-				if seeds > 0 {
-					printTable(t, size, seeds, loss, deadShare)
-				}
-			}
-		}
-	}
-}
-
-func printTable(t *testing.T, size, seeds int, loss, deadShare float64) {
-	for _, m := range methods {
-		r := summarize(m, size, seeds, loss, deadShare)
-		t.Logf("| %d | %.0f%% | %.0f%% | %s | %.1f | %.1f | %.0f | %s | %s | %s | %.2f |",
-			size, 100*loss, 100*deadShare, m.name, r.messages, r.bytes/1000, r.calls,
-			r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.most.Round(time.Millisecond), r.missed)
-	}
-}
