Send no hedge to a server whose permits are all in use

Cause: at twice the load of all slots, hedges went on at 5% of the useful requests. Hosts keep the queue to themselves, so servers seldom shed (7 of some 6,000 missed shards), and the pause after shed replies never began. An attempt now looks again four times per hedging delay until a permit is free.

--- a/coordination/search/search_test.go
+++ b/coordination/search/search_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -275,3 +276,49 @@
 		}
 	}
 }
+
+// fullDirectory has no free permits until it is told otherwise.
+type fullDirectory struct {
+	directory
+	free atomic.Bool
+}
+
+func (d *fullDirectory) Candidates(service *ebonyworks.Service, route ebonyworks.Route) []ebonyworks.Candidate {
+	candidates := d.directory.Candidates(service, route)
+	for i := range candidates {
+		if !d.free.Load() {
+			candidates[i].InFlight = candidates[i].Limit
+		}
+	}
+	return candidates
+}
+
+// Guards against hedges that lengthen the queues of an overloaded service, and
+// against a straggler that gets no hedge once a permit is free again.
+func TestHedgesWaitForFreePermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		w.reportAll(snapshot(3, 1))
+		w.plan = func(server ebonyworks.ServerID, _ ebonyworks.SubSearch) fault {
+			if server == "stock-finder-01a" {
+				return hang
+			}
+			return noFault
+		}
+		full := &fullDirectory{}
+		coordinator := w.coordinator()
+		coordinator.Directory = full
+		answers := make(chan ebonyworks.SearchOutcome, 1)
+		go func() {
+			answers <- coordinator.Search(t.Context(), ebonyworks.Search{Request: "r1", Route: routeID, Deadline: time.Now().Add(time.Second)})
+		}()
+		time.Sleep(10 * hedgeDelay)
+		w.mu.Lock()
+		assert.Len(t, w.attempts, services, "no hedge while all permits are in use")
+		w.mu.Unlock()
+		full.free.Store(true)
+		outcome := <-answers
+		require.Nil(t, outcome.Refusal)
+		assert.True(t, outcome.Answer.Coverage.Complete())
+	})
+}
--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -15,6 +15,14 @@
 // queues.
 const retryAfterShed = 250 * time.Millisecond
 
+const (
+	// hedgeRechecks is how often in one hedging delay an attempt looks again for
+	// a server with a free permit.
+	hedgeRechecks = 4
+	// minRecheck bounds how often it looks when the delay is short.
+	minRecheck = 2 * time.Millisecond
+)
+
 // shardRun collects the attempts at one shard.
 type shardRun struct {
 	run   *run
@@ -80,7 +88,9 @@
 			s.reason = end.result.reason
 			s.retry(ctx, end.record)
 		case <-hedge.C:
-			s.hedge(ctx)
+			if again := s.hedge(ctx); again > 0 {
+				hedge.Reset(again)
+			}
 		case <-ctx.Done():
 			s.reason = ebonyworks.MissTimeout
 			return s.missed()
@@ -98,16 +108,23 @@
 	}
 }
 
-// hedge starts a second attempt if it is worth it and the budget allows it.
-func (s *shardRun) hedge(ctx context.Context) {
+// hedge starts a second attempt if it is worth it and the budget allows it. It
+// returns when to look again, or zero. A server whose permits are all in use
+// gets no hedge: while a whole service is overloaded its queue would only grow.
+func (s *shardRun) hedge(ctx context.Context) time.Duration {
 	policy := s.run.coordinator.Hedging
+	delay := policy.Delay(s.shard.service.ID)
 	candidate, ok := s.choose()
-	if !ok || !hedging.Worthwhile(policy.Delay(s.shard.service.ID), candidate) {
-		return
+	if !ok || !hedging.Worthwhile(delay, candidate) {
+		return 0
+	}
+	if candidate.InFlight >= candidate.Limit {
+		return max(delay/hedgeRechecks, minRecheck)
 	}
 	if policy.AllowHedge(s.shard.service.ID) {
 		s.start(ctx, candidate, true, false)
 	}
+	return 0
 }
 
 // retry starts another attempt after a failed one if nothing else is in flight.
