--- /dev/null
+++ b/state/register/candidates.go
@@ -0,0 +1,182 @@
+package register
+
+import (
+	mathrand "math/rand/v2"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// Candidates returns the servers of the service that the route may use and
+// that aren't leaving, in the order of the configuration. The quota supplies
+// the attempts in flight; nil means none.
+//
+// A server that is far slower than another replica keeps its latency until
+// probes show that it has recovered, while that of other servers decays. It
+// counts as far.
+//
+// When the probe of a slow server is due, one call for a search route gets it
+// marked as Probe, or after a good probe with the lowest latency, so that it is
+// chosen.
+// Failing servers are probed by status requests only (Due): a search that fails
+// there needs a retry, and without budget it would miss a shard.
+func (r *Register) Candidates(
+	service *ebonyworks.Service,
+	route ebonyworks.Route,
+	near ebonyworks.DomainID,
+	quota ebonyworks.Quota,
+) []ebonyworks.Candidate {
+	candidates := make([]ebonyworks.Candidate, 0, len(service.Servers))
+	candidates = r.appendUsable(candidates, service, route, near)
+	if quota == nil {
+		return candidates
+	}
+	for i := range candidates {
+		candidates[i].InFlight, candidates[i].Limit = quota.Load(service, candidates[i].Server.ID)
+	}
+	return candidates
+}
+
+// Due returns at most limit of the servers that should be asked for their
+// status now: those without a report for a second, and failing ones whose
+// next probe is due. The caller passes the result of each to Observe.
+func (r *Register) Due(servers []ebonyworks.Server, limit int) []ebonyworks.Server {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var due []ebonyworks.Server
+	for _, server := range servers {
+		if len(due) >= limit {
+			break
+		}
+		known := r.open(server.ID)
+		if known != nil && r.takeStatus(known, now) {
+			due = append(due, server)
+		}
+	}
+	return due
+}
+
+// jitter returns a duration between half and one and a half times the given
+// one, so that hosts don't probe a returning server at the same moment.
+func (r *Register) jitter(interval time.Duration) time.Duration {
+	if r.Random == nil {
+		r.Random = mathrand.New(mathrand.NewPCG(1, 2))
+	}
+	return time.Duration(float64(interval) * (0.5 + r.Random.Float64()))
+}
+
+func (r *Register) appendUsable(
+	candidates []ebonyworks.Candidate,
+	service *ebonyworks.Service,
+	route ebonyworks.Route,
+	near ebonyworks.DomainID,
+) []ebonyworks.Candidate {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	mayProbe := route.Kind == ebonyworks.SearchRoute
+	// The buffer is large enough for the replicas of usual services, so that
+	// each server is looked up once and without an allocation.
+	var buffer [16]*record
+	records := buffer[:0]
+	for _, server := range service.Servers {
+		records = append(records, r.servers[server.ID])
+	}
+	best := bestTypical(service, route, records)
+	for i, server := range service.Servers {
+		known := records[i]
+		if !route.Allows(server.Domain) || (known != nil && known.leaving) {
+			continue
+		}
+		candidate := ebonyworks.Candidate{Server: server, Near: server.Domain == near, Share: 1}
+		if known != nil {
+			r.compare(known, best, now)
+			r.describe(known, &candidate, mayProbe, now)
+		}
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+// bestTypical returns the lowest typical latency of the usable servers, or
+// zero if there are no samples. The records are in the order of the servers.
+func bestTypical(service *ebonyworks.Service, route ebonyworks.Route, records []*record) time.Duration {
+	var best time.Duration
+	for i, known := range records {
+		if known == nil || known.leaving || known.failing() || known.typical == 0 || !route.Allows(service.Servers[i].Domain) {
+			continue
+		}
+		if best == 0 || known.typical < best {
+			best = known.typical
+		}
+	}
+	return best
+}
+
+// compare sets or clears the slow state of a server.
+func (r *Register) compare(known *record, best time.Duration, now time.Time) {
+	known.best = best
+	if best == 0 {
+		return
+	}
+	factor := float64(known.typical) / float64(best)
+	switch {
+	case known.slow && factor < normalFactor:
+		known.slow = false
+	case !known.slow && factor > slowFactor && known.typical > best+slowSlack:
+		known.slow = true
+		known.promising = false
+		known.interval = firstSlowInterval
+		known.nextProbe = now.Add(r.jitter(known.interval))
+	}
+}
+
+func (r *Register) describe(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
+	candidate.Incarnation = known.incarnation
+	candidate.Latency = known.decayed(now)
+	if known.slow {
+		// The advantage of being near is a small part of a straggler's latency
+		// and must not attract load to it.
+		candidate.Near = false
+		candidate.Latency = max(known.latency, known.typical)
+	}
+	candidate.Share = known.share(now)
+	if now.Sub(known.lastReport) < reportAge {
+		candidate.SlotsBusy = known.slotsBusy
+		candidate.Queued = known.queued
+	}
+	candidate.Failing = known.failing()
+	if known.slow && !candidate.Failing && mayProbe && r.takeProbe(known, now) {
+		known.offer(candidate)
+	}
+}
+
+// takeProbe reports whether a probe is due, and gives it to this caller only.
+func (r *Register) takeProbe(known *record, now time.Time) bool {
+	if now.Before(known.nextProbe) {
+		return false
+	}
+	known.nextProbe = now.Add(r.jitter(known.interval))
+	known.probing = true
+	if known.slow && !known.failing() {
+		// A hedge may end the probe before its latency is known. A good one
+		// shortens the interval again.
+		known.interval = min(2*known.interval, maxSlowInterval)
+	}
+	return true
+}
+
+func (r *Register) takeStatus(known *record, now time.Time) bool {
+	if known.failing() {
+		return r.takeProbe(known, now)
+	}
+	if now.Sub(known.lastReport) < statusInterval && known.refreshed.After(r.staleBefore) {
+		return false
+	}
+	if now.Sub(known.asked) < statusInterval {
+		return false
+	}
+	known.asked = now
+	return true
+}
--- /dev/null
+++ b/state/register/record.go
@@ -0,0 +1,140 @@
+package register
+
+import (
+	"math"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// record is what is known of one server. Times are zero if unknown.
+type record struct {
+	// incarnation never decreases; zero means unknown.
+	incarnation ebonyworks.Incarnation
+	// leaving is only cleared by a newer incarnation.
+	leaving bool
+	// returned is when a newer incarnation cleared leaving.
+	returned time.Time
+	// rampSince is the start of the slow start.
+	rampSince time.Time
+	// latency is the average as of latencyAt, zero if there is no sample.
+	latency   time.Duration
+	latencyAt time.Time
+	// typical is the average over the last samples, zero if there is none.
+	typical time.Duration
+	// best is the typical latency of the best replica when last compared.
+	best time.Duration
+	// slow is set while the typical latency is far above that of a replica.
+	slow bool
+	// promising is set if the last sample of a slow server was a good one.
+	promising bool
+	failures  int
+	// interval is the next time between probes, before jitter.
+	interval  time.Duration
+	nextProbe time.Time
+	// probing is set from the probe of a failing server to its result.
+	probing     bool
+	lastSuccess time.Time
+	// lastReport is when slotsBusy and queued were reported.
+	lastReport time.Time
+	slotsBusy  int
+	queued     int
+	// asked is when Due last returned the server for its missing report.
+	asked time.Time
+	// refreshed is when a fact was last confirmed by the server or a peer.
+	refreshed time.Time
+}
+
+// offer marks the candidate for the probe that is due. After a good probe the
+// next ones take the place of attempts: copies would use up the budget of hedges
+// when many servers recover together.
+func (k *record) offer(candidate *ebonyworks.Candidate) {
+	if k.promising {
+		candidate.Latency = time.Nanosecond
+		return
+	}
+	candidate.Probe = true
+}
+
+func (k *record) resetProbes() {
+	k.interval = 0
+	k.nextProbe = time.Time{}
+	k.probing = false
+}
+
+func (k *record) failing() bool { return k.failures >= failuresUntilFailing }
+
+// share returns the part of its normal traffic that the server may get.
+func (k *record) share(now time.Time) float64 {
+	if k.rampSince.IsZero() {
+		return 1
+	}
+	steps := float64(now.Sub(k.rampSince) / rampStep)
+	total := float64(RampTime / rampStep)
+	return min(1, rampStart+(1-rampStart)*steps/total)
+}
+
+// decayed returns the latency average as of now. It decays while there are no
+// samples, so that a server that was slow is tried again.
+func (k *record) decayed(now time.Time) time.Duration {
+	if k.latency == 0 {
+		return 0
+	}
+	age := now.Sub(k.latencyAt)
+	latency := time.Duration(float64(k.latency) * math.Exp(-float64(age)/float64(latencyDecay)))
+	return max(latency, time.Nanosecond)
+}
+
+// sample moves the average to the latency: at once if it is slower, else by
+// the part that the time since the last sample stands for.
+func (k *record) sample(now time.Time, latency time.Duration) {
+	latency = max(latency, time.Nanosecond)
+	k.sampleTypical(latency)
+	average := k.decayed(now)
+	if latency >= average {
+		k.latency = latency
+		k.latencyAt = now
+		return
+	}
+	weight := math.Exp(-float64(now.Sub(k.latencyAt)) / float64(latencyDecay))
+	k.latency = latency + time.Duration(float64(average-latency)*weight)
+	k.latencyAt = now
+}
+
+// sampleTypical moves the typical latency by the weight of one sample.
+func (k *record) sampleTypical(latency time.Duration) {
+	if k.typical == 0 {
+		k.typical = latency
+		return
+	}
+	weight := typicalWeight
+	if k.slow {
+		weight = slowWeight
+		k.shorten(latency)
+	}
+	k.typical += time.Duration(weight * float64(latency-k.typical))
+}
+
+// shorten sets the interval between probes of a slow server after a good one.
+func (k *record) shorten(latency time.Duration) {
+	k.promising = latency < slowFactor*k.best
+	if float64(latency) < normalFactor*float64(k.best) {
+		k.interval = max(k.interval/4, firstSlowInterval)
+	}
+}
+
+// raise applies a sample of which only a lower bound is known.
+func (k *record) raise(now time.Time, latency time.Duration) {
+	if latency > k.typical {
+		k.sampleTypical(survivorFactor * latency)
+	}
+	k.peak(now, latency)
+}
+
+// peak raises the peak-sensitive average to the latency.
+func (k *record) peak(now time.Time, latency time.Duration) {
+	if latency > k.decayed(now) {
+		k.latency = latency
+		k.latencyAt = now
+	}
+}
