--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # entry that starts with "Test".
 KNOWN_RED = $(shell grep -oE '^Test[A-Za-z0-9_/]*' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
-.PHONY: build test lint format check-format generate demo capacity ci
+.PHONY: measure build test lint format check-format generate demo capacity ci
 
 build:
 	go build -o bin/ ./cmd/...
@@ -44,5 +44,13 @@
 demo: build
 	bash examples/demo
 
+# Reruns the tables of docs/MEASUREMENTS.md into RESULTS; takes about an hour on
+# a machine that does nothing else.
+RESULTS ?= results
+measure:
+	examples/experiment $(RESULTS)/kitakaze --user kitakaze --scenario all --policy Adaptive
+	examples/experiment $(RESULTS)/retazos --user retazos --scenario all --policy Adaptive
+	examples/experiment $(RESULTS)/baselines --user kitakaze --scenario normal-50,straggler --policy FixedHedge,LeastOutstanding,RoundRobin,Direct
+
 ci:
 	bash .ci/run
