--- a/coordination/bulletin/accept.go
+++ b/coordination/bulletin/accept.go
@@ -250,7 +250,7 @@
 		b.supersede(loser, now)
 	}
 	b.reportAccepted(due, before)
-	b.config.Fellows.Hasten()
+	b.config.Membership.SendNow()
 	signal(b.settleWake)
 	return true
 }
@@ -388,7 +388,7 @@
 
 func (b *Bulletin) somePeers(count int) []netip.AddrPort {
 	var peers []netip.AddrPort
-	for _, host := range b.config.Fellows.Alive() {
+	for _, host := range b.config.Membership.Alive() {
 		peers = append(peers, host.Address)
 	}
 	b.shuffle(peers)
--- a/coordination/bulletin/bulletin.go
+++ b/coordination/bulletin/bulletin.go
@@ -28,17 +28,17 @@
 
 var errNothing = errors.New("no configuration accepted yet")
 
-// Fellows is the membership as a Bulletin needs it. guild.Guild implements it.
-type Fellows interface {
+// Membership is the membership as a Bulletin needs it. guild.Guild implements it.
+type Membership interface {
 	// Alive returns the other members that are alive, ordered by id. The slice
 	// is shared.
 	Alive() []ebonyworks.Host
 	// Candidates returns addresses at which no member is known to answer.
 	Candidates() []netip.AddrPort
-	// Ask exchanges with the host at the address. Facts arrive at Absorb.
+	// Ask exchanges with the host at the address. Facts arrive at Receive.
 	Ask(ctx context.Context, to netip.AddrPort) error
-	// Hasten makes the next messages go out now.
-	Hasten()
+	// SendNow makes the next messages go out now.
+	SendNow()
 }
 
 // Config holds what a Bulletin needs. Only Recorder may be nil.
@@ -47,12 +47,12 @@
 	// HeadKey is the key of the head on the configuration service.
 	HeadKey ebonyworks.Key
 	// PartKey returns the key of a part by its name.
-	PartKey   func(name string) ebonyworks.Key
-	Platform  ebonyworks.Platform
-	Peer      ebonyworks.Peer
-	Documents ebonyworks.Documents
-	Fellows   Fellows
-	Edition   *edition.Edition
+	PartKey    func(name string) ebonyworks.Key
+	Platform   ebonyworks.Platform
+	Peer       ebonyworks.Peer
+	Documents  ebonyworks.Documents
+	Membership Membership
+	Edition    *edition.Edition
 	// Random belongs to the Bulletin.
 	Random   *rand.Rand
 	Recorder ebonyworks.Recorder
@@ -175,9 +175,9 @@
 	}
 }
 
-// Absorb compares the sender's configuration with the one in force.
-func (b *Bulletin) Absorb(message ebonyworks.Exchange, asked time.Time) {
-	size := len(b.config.Fellows.Alive()) + 1
+// Receive compares the sender's configuration with the one in force.
+func (b *Bulletin) Receive(message ebonyworks.Exchange, asked time.Time) {
+	size := len(b.config.Membership.Alive()) + 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	mine := b.config.Edition.Mark()
@@ -203,8 +203,8 @@
 	}
 }
 
-// Doubt makes the host ask again whether its configuration is the newest.
-func (b *Bulletin) Doubt() {
+// MarkStale makes the host ask again whether its configuration is the newest.
+func (b *Bulletin) MarkStale() {
 	b.mu.Lock()
 	b.settled = false
 	b.confirmed, b.confirmedBy, b.stepped = time.Time{}, "", false
--- a/coordination/bulletin/example_test.go
+++ b/coordination/bulletin/example_test.go
@@ -18,7 +18,7 @@
 func (alone) Alive() []ebonyworks.Host                  { return nil }
 func (alone) Candidates() []netip.AddrPort              { return nil }
 func (alone) Ask(context.Context, netip.AddrPort) error { return nil }
-func (alone) Hasten()                                   {}
+func (alone) SendNow()                                  {}
 
 // constant is a configuration service whose values don't change.
 type constant map[ebonyworks.Key]ebonyworks.Value
@@ -56,7 +56,7 @@
 	settled := make(ready)
 	b := bulletin.New(bulletin.Config{
 		Self: "entry-1", HeadKey: headKey, PartKey: partKey, Platform: bulletin.NewMeter(service),
-		Documents: documents{}, Fellows: alone{}, Edition: &inForce,
+		Documents: documents{}, Membership: alone{}, Edition: &inForce,
 		Random: rand.New(rand.NewPCG(1, 1)), Recorder: settled,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coordination/bulletin/fleet_test.go
+++ b/coordination/bulletin/fleet_test.go
@@ -175,9 +175,9 @@
 	})
 	l.bulletin = bulletin.New(bulletin.Config{
 		Self: n.host.ID, HeadKey: headKey, PartKey: partKey, Platform: l.meter, Peer: peer{n},
-		Documents: documents{}, Fellows: l.guild, Edition: &l.edition, Random: rand.New(rand.NewPCG(seed, 3)), Recorder: recorder{n},
+		Documents: documents{}, Membership: l.guild, Edition: &l.edition, Random: rand.New(rand.NewPCG(seed, 3)), Recorder: recorder{n},
 	})
-	l.tracker = departure.New(departure.Config{Hasten: l.guild.Hasten})
+	l.tracker = departure.New(departure.Config{SendNow: l.guild.SendNow})
 	l.guild.Attach(l.bulletin)
 	l.guild.Attach(l.tracker)
 	ctx, stop := context.WithCancel(context.Background())
--- a/coordination/bulletin/peers.go
+++ b/coordination/bulletin/peers.go
@@ -228,13 +228,13 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	targets := b.somePeers(settlePeers)
-	others := b.config.Fellows.Candidates()
+	others := b.config.Membership.Candidates()
 	b.shuffle(others)
 	targets = append(targets, others[:min(len(others), settlePeers)]...)
 	answered := make([]bool, len(targets))
 	var calls sync.WaitGroup
 	for i, target := range targets {
-		calls.Go(func() { answered[i] = b.config.Fellows.Ask(ctx, target) == nil })
+		calls.Go(func() { answered[i] = b.config.Membership.Ask(ctx, target) == nil })
 	}
 	calls.Wait()
 	return !slices.Contains(answered, false)
--- a/coordination/bulletin/watch.go
+++ b/coordination/bulletin/watch.go
@@ -66,7 +66,7 @@
 // chosen reports whether this host is among the watchers by rendezvous hashing.
 func (b *Bulletin) chosen() bool {
 	larger := 0
-	for _, host := range b.config.Fellows.Alive() {
+	for _, host := range b.config.Membership.Alive() {
 		if heavier(host.ID, b.config.Self) {
 			larger++
 		}
@@ -136,7 +136,7 @@
 
 func (b *Bulletin) mustRead(now time.Time) bool {
 	chosen := b.chosen()
-	size := len(b.config.Fellows.Alive()) + 1
+	size := len(b.config.Membership.Alive()) + 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now.Before(b.service.nextRead) {
--- a/coordination/departure/benchmark_test.go
+++ b/coordination/departure/benchmark_test.go
@@ -38,10 +38,10 @@
 			b.ReportMetric(perServer, "B/server")
 			b.ReportMetric(float64(fresh), "facts")
 		})
-		b.Run("Absorb/servers="+strconv.Itoa(servers), func(b *testing.B) {
+		b.Run("Receive/servers="+strconv.Itoa(servers), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				tracker.Absorb(message, time.Now())
+				tracker.Receive(message, time.Now())
 			}
 		})
 	}
--- a/coordination/departure/departure.go
+++ b/coordination/departure/departure.go
@@ -34,8 +34,8 @@
 
 // Config holds what a Tracker needs. All fields may be zero.
 type Config struct {
-	// Hasten makes the next messages go out now.
-	Hasten func()
+	// SendNow makes the next messages go out now.
+	SendNow func()
 	// Changed is called without locks after a server's state may have changed.
 	Changed  func(server ebonyworks.ServerID)
 	Recorder ebonyworks.Recorder
@@ -171,8 +171,8 @@
 	}
 }
 
-// Absorb learns the facts of another host.
-func (t *Tracker) Absorb(message ebonyworks.Exchange, _ time.Time) {
+// Receive learns the facts of another host.
+func (t *Tracker) Receive(message ebonyworks.Exchange, _ time.Time) {
 	for _, fact := range message.Departures {
 		switch {
 		case fact.Incarnation != 0:
@@ -183,9 +183,9 @@
 	}
 }
 
-// Doubt does nothing: what was true of an incarnation stays true. After a
+// MarkStale does nothing: what was true of an incarnation stays true. After a
 // pause the guild asks peers for all facts before the host is ready.
-func (t *Tracker) Doubt() {}
+func (t *Tracker) MarkStale() {}
 
 // split returns the facts that are new, and the others that are in force.
 func (t *Tracker) split(now time.Time, full bool) (fresh, older []ebonyworks.Departure) {
@@ -338,8 +338,8 @@
 			event.Attribute("Source", source),
 			event.Attribute("Incarnation", strconv.FormatUint(uint64(t.incarnation(server)), 10))))
 	}
-	if t.config.Hasten != nil {
-		t.config.Hasten()
+	if t.config.SendNow != nil {
+		t.config.SendNow()
 	}
 }
 
--- a/coordination/departure/departure_test.go
+++ b/coordination/departure/departure_test.go
@@ -37,8 +37,8 @@
 	observe := func(incarnation ebonyworks.Incarnation, leaving bool) func(*departure.Tracker) {
 		return func(t *departure.Tracker) { t.Observe(report(incarnation, leaving)) }
 	}
-	absorb := func(incarnation ebonyworks.Incarnation, leaving bool) func(*departure.Tracker) {
-		return func(t *departure.Tracker) { t.Absorb(fromPeer(incarnation, leaving), time.Time{}) }
+	receive := func(incarnation ebonyworks.Incarnation, leaving bool) func(*departure.Tracker) {
+		return func(t *departure.Tracker) { t.Receive(fromPeer(incarnation, leaving), time.Time{}) }
 	}
 	list := func(leaving bool) func(*departure.Tracker) {
 		return func(t *departure.Tracker) { t.Listed(listed(leaving), time.Now()) }
@@ -50,12 +50,12 @@
 		"own reply": {
 			{"alive", observe(3, false), false}, {"leaving", observe(3, true), true}, {"late reply", observe(3, false), true},
 			{"list says no", list(false), true}, {"older life", observe(2, false), true}, {"new life", observe(4, false), false},
-			{"old fact", absorb(3, true), false}, {"leaves again", absorb(4, true), true},
+			{"old fact", receive(3, true), false}, {"leaves again", receive(4, true), true},
 		},
 		"go away": {
 			{"alive", observe(3, false), false},
 			{"go away", func(t *departure.Tracker) { t.GoAway(server) }, true},
-			{"later", sleep(time.Hour), true}, {"new life", absorb(4, false), false},
+			{"later", sleep(time.Hour), true}, {"new life", receive(4, false), false},
 		},
 		"go away of an unknown life": {
 			{"go away", func(t *departure.Tracker) { t.GoAway(server) }, true}, {"later", sleep(time.Minute), false},
@@ -74,11 +74,11 @@
 			{"leaving", list(true), true}, {"50 s", sleep(50 * time.Second), true}, {"70 s", sleep(20 * time.Second), false},
 		},
 		"peer's fact without a life": {
-			{"leaving", absorb(0, true), true}, {"echo", sleep(20 * time.Second), true},
-			{"doesn't renew", absorb(0, true), true}, {"expired", sleep(11 * time.Second), false},
+			{"leaving", receive(0, true), true}, {"echo", sleep(20 * time.Second), true},
+			{"doesn't renew", receive(0, true), true}, {"expired", sleep(11 * time.Second), false},
 		},
 		"peer's fact ended by a later list": {
-			{"leaving", absorb(0, true), true}, {"older list", list(false), true}, {"wait", sleep(12 * time.Second), true}, {"list", list(false), false},
+			{"leaving", receive(0, true), true}, {"older list", list(false), true}, {"wait", sleep(12 * time.Second), true}, {"list", list(false), false},
 		},
 	}
 	for name, steps := range cases {
@@ -101,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		hastened, changed := 0, 0
 		tracker := departure.New(departure.Config{
-			Hasten:  func() { hastened++ },
+			SendNow: func() { hastened++ },
 			Changed: func(ebonyworks.ServerID) { changed++ },
 		})
 		sent := func(budget int) []ebonyworks.Departure {
--- a/coordination/guild/crash.go
+++ b/coordination/guild/crash.go
@@ -9,18 +9,18 @@
 // crashOverhead is the encoded size of a crash report without its name.
 const crashOverhead = 32
 
-// CrashBook holds the crash reports that hosts share.
-type CrashBook interface {
+// CrashStore holds the crash reports that hosts share.
+type CrashStore interface {
 	// Reports returns the reports worth sending, the most important first.
 	Reports() []ebonyworks.CrashReport
 	// Learn takes the reports of another host.
 	Learn(reports []ebonyworks.CrashReport)
 }
 
-// CrashCarrier is a Contributor that carries the reports of a CrashBook.
+// CrashCarrier is a Contributor that carries the reports of a CrashStore.
 type CrashCarrier struct {
 	// Book must not be nil.
-	Book CrashBook
+	Book CrashStore
 }
 
 // Contribute adds reports within the budget.
@@ -34,12 +34,12 @@
 	}
 }
 
-// Absorb hands the reports to the book.
-func (c CrashCarrier) Absorb(message ebonyworks.Exchange, _ time.Time) {
+// Receive hands the reports to the book.
+func (c CrashCarrier) Receive(message ebonyworks.Exchange, _ time.Time) {
 	if len(message.Crashes) > 0 {
 		c.Book.Learn(message.Crashes)
 	}
 }
 
-// Doubt does nothing: a death stays a death.
-func (c CrashCarrier) Doubt() {}
+// MarkStale does nothing: a death stays a death.
+func (c CrashCarrier) MarkStale() {}
--- a/coordination/guild/exchange.go
+++ b/coordination/guild/exchange.go
@@ -32,7 +32,7 @@
 // HandleExchange answers the message of another host.
 func (g *Guild) HandleExchange(_ context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
 	g.checkPause(time.Now())
-	g.absorb(message, time.Time{})
+	g.receive(message, time.Time{})
 	g.contacted()
 	return g.compose(message.From.ID, message.Full), nil
 }
@@ -62,10 +62,10 @@
 	}
 	g.checkPause(time.Now())
 	if reply.From.ID == g.config.Self.ID {
-		g.absorb(reply, asked)
+		g.receive(reply, asked)
 		return ebonyworks.Exchange{}, errors.New("the address is this host's own")
 	}
-	g.absorb(reply, asked)
+	g.receive(reply, asked)
 	g.answered(asked)
 	return reply, nil
 }
@@ -101,8 +101,8 @@
 
 func (g *Guild) sendLimit() int { return sendFactor * log2(g.roster.Size()) }
 
-// absorb learns from a message.
-func (g *Guild) absorb(message ebonyworks.Exchange, asked time.Time) {
+// receive learns from a message.
+func (g *Guild) receive(message ebonyworks.Exchange, asked time.Time) {
 	if message.From.ID == g.config.Self.ID {
 		g.learn(ebonyworks.Member{Host: message.From})
 		return
@@ -112,7 +112,7 @@
 		g.learn(fact)
 	}
 	for _, contributor := range g.contributors {
-		contributor.Absorb(message, asked)
+		contributor.Receive(message, asked)
 	}
 }
 
@@ -128,7 +128,7 @@
 	case change.Refuted:
 		round := event.Attribute("Round", strconv.FormatUint(g.roster.Self().Round, 10))
 		g.record(event.SuspicionRefuted, round)
-		g.Hasten()
+		g.SendNow()
 	case change.Applied:
 		g.recordState(fact, change)
 	}
@@ -141,7 +141,7 @@
 	case fact.State == ebonyworks.MemberLeft:
 		g.record(event.MemberLeft, hostAttributes(fact.Host)...)
 		if !change.New {
-			g.Hasten()
+			g.SendNow()
 		}
 	case fact.State == ebonyworks.MemberDead:
 		g.record(event.MemberDied, hostAttributes(fact.Host)...)
--- a/coordination/guild/guild.go
+++ b/coordination/guild/guild.go
@@ -45,11 +45,11 @@
 type Contributor interface {
 	// Contribute adds facts of about budget bytes at most.
 	Contribute(message *ebonyworks.Exchange, budget int)
-	// Absorb learns from a message. It was made after the time asked; if asked
+	// Receive learns from a message. It was made after the time asked; if asked
 	// is zero, the age of the message is unknown.
-	Absorb(message ebonyworks.Exchange, asked time.Time)
-	// Doubt tells that the process was paused: what was known may be stale.
-	Doubt()
+	Receive(message ebonyworks.Exchange, asked time.Time)
+	// MarkStale tells that the process was paused: what was known may be stale.
+	MarkStale()
 }
 
 // ListReader takes the platform's host list.
--- a/coordination/guild/guild_test.go
+++ b/coordination/guild/guild_test.go
@@ -288,7 +288,7 @@
 	})
 }
 
-// crashes is a CrashBook that remembers everything.
+// crashes is a CrashStore that remembers everything.
 type crashes struct{ reports, learned []ebonyworks.CrashReport }
 
 func (c *crashes) Reports() []ebonyworks.CrashReport      { return c.reports }
--- a/coordination/guild/refresh.go
+++ b/coordination/guild/refresh.go
@@ -58,7 +58,7 @@
 	g.mu.Unlock()
 	g.roster.Renew(now)
 	for _, contributor := range g.contributors {
-		contributor.Doubt()
+		contributor.MarkStale()
 	}
 	g.record(event.ProcessPaused, event.Attribute("Gap", gap.String()))
 	signal(g.refreshWake)
--- a/coordination/guild/spread.go
+++ b/coordination/guild/spread.go
@@ -42,8 +42,8 @@
 	return true
 }
 
-// Hasten makes the next messages go out now, because an urgent fact is new.
-func (g *Guild) Hasten() { signal(g.spreadWake) }
+// SendNow makes the next messages go out now, because an urgent fact is new.
+func (g *Guild) SendNow() { signal(g.spreadWake) }
 
 // spread sends bursts of messages when there is something urgent.
 func (g *Guild) spread(ctx context.Context) {
--- a/coordination/reservation/close.go
+++ b/coordination/reservation/close.go
@@ -64,7 +64,7 @@
 	taken := 0
 	var failures error
 	for _, peer := range rendezvous(closed.Host, closed.Incarnation, r.settings.Hosts.Peers()) {
-		if taken == heirs || ctx.Err() != nil {
+		if taken == successors || ctx.Err() != nil {
 			break
 		}
 		if err := r.settings.Peer.HandOver(ctx, peer, closed); err != nil {
@@ -74,9 +74,9 @@
 		taken++
 		r.record(event.New(event.LedgerHandedOver, event.Attribute("Peer", string(peer.ID)), event.Attribute("Owner", string(closed.Host))))
 	}
-	if taken == heirs {
+	if taken == successors {
 		return nil
 	}
 	r.record(event.New(event.LedgerNotHandedOver, event.Attribute("Owner", string(closed.Host))))
-	return errors.Join(failures, errors.Errorf("%d of %d peers took the ledger of %s", taken, heirs, closed.Host))
+	return errors.Join(failures, errors.Errorf("%d of %d peers took the ledger of %s", taken, successors, closed.Host))
 }
--- a/coordination/reservation/forward.go
+++ b/coordination/reservation/forward.go
@@ -36,7 +36,7 @@
 	if outcome, ok := r.heldReservation(claims, reservation); ok {
 		return outcome
 	}
-	return r.askHeirs(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	return r.askSuccessors(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
 		return r.settings.Peer.Reserve(ctx, peer, reservation)
 	})
 }
@@ -58,7 +58,7 @@
 	if outcome, ok := r.heldOutcome(claims); ok {
 		return outcome
 	}
-	return r.askHeirs(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
+	return r.askSuccessors(ctx, claims, func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery) {
 		return r.settings.Peer.Outcome(ctx, peer, token)
 	})
 }
@@ -75,14 +75,14 @@
 }
 
 // question sends a reservation or query to a peer that may hold the closed
-// ledger. A reservation is sent as such, because the heir then also sees that
-// the ticket was used with another body. No heir can run it.
+// ledger. A reservation is sent as such, because the successor then also sees that
+// the ticket was used with another body. No successor can run it.
 type question func(ctx context.Context, peer ebonyworks.Host) (ebonyworks.Outcome, ebonyworks.Delivery)
 
-// askHeirs looks for the closed ledger of the ticket's incarnation at the
+// askSuccessors looks for the closed ledger of the ticket's incarnation at the
 // peers that come first in rendezvous order. The owner isn't asked again: it
 // would get a reservation twice.
-func (r *Runner) askHeirs(ctx context.Context, claims ebonyworks.TicketClaims, ask question) ebonyworks.Outcome {
+func (r *Runner) askSuccessors(ctx context.Context, claims ebonyworks.TicketClaims, ask question) ebonyworks.Outcome {
 	peers := slices.DeleteFunc(rendezvous(claims.Host, claims.Incarnation, r.settings.Hosts.Peers()), func(peer ebonyworks.Host) bool {
 		return peer.ID == claims.Host && peer.Incarnation <= claims.Incarnation
 	})
@@ -131,7 +131,7 @@
 }
 
 // rendezvous orders hosts by their hash with the incarnation, the highest
-// first, so that all hosts find the heirs of an incarnation without a list.
+// first, so that all hosts find the successors of an incarnation without a list.
 func rendezvous(host ebonyworks.HostID, incarnation ebonyworks.Incarnation, peers []ebonyworks.Host) []ebonyworks.Host {
 	prefix := string(host) + "\x00" + strconv.FormatUint(uint64(incarnation), 10) + "\x00"
 	ordered := slices.Clone(peers)
--- a/coordination/reservation/runner.go
+++ b/coordination/reservation/runner.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// heirs is the number of peers that get a closed ledger.
-	heirs = 2
+	// successors is the number of peers that get a closed ledger.
+	successors = 2
 	// asked is the number of peers that are asked for a closed ledger. It is
-	// larger than heirs because hosts that joined since can precede an heir.
+	// larger than successors because hosts that joined since can precede a successor.
 	asked = 3
 	// ownerTime bounds the wait for the owner's answer to a query.
 	ownerTime = 2 * time.Second
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,27 +142,27 @@
 		ReadsOften: func() bool { return h.bulletin.ReadsOften() },
 	})
 	h.bulletin = bulletin.New(bulletin.Config{
-		Self:      h.options.Self.ID,
-		HeadKey:   h.options.HeadKey,
-		PartKey:   h.options.PartKey,
-		Platform:  h.meter,
-		Peer:      h.options.Peer,
-		Documents: h.options.Documents,
-		Fellows:   h.guild,
-		Edition:   h.edition,
-		Random:    h.random(bulletinStream),
-		Recorder:  h.options.Recorder,
+		Self:       h.options.Self.ID,
+		HeadKey:    h.options.HeadKey,
+		PartKey:    h.options.PartKey,
+		Platform:   h.meter,
+		Peer:       h.options.Peer,
+		Documents:  h.options.Documents,
+		Membership: h.guild,
+		Edition:    h.edition,
+		Random:     h.random(bulletinStream),
+		Recorder:   h.options.Recorder,
 	})
 	h.departures = departure.New(departure.Config{
-		Hasten:   h.guild.Hasten,
+		SendNow:  h.guild.SendNow,
 		Recorder: h.options.Recorder,
 	})
 	h.reporter = inspection.NewReporter(h.options.Peer, h.guild.Alive)
 	h.inspector = &inspection.Inspector{Publish: h.reporter.Publish, Recorder: h.options.Recorder}
 	h.guild.Attach(h.bulletin)
 	h.guild.Attach(h.departures)
-	h.guild.Attach(guild.CrashCarrier{Book: crashBook{h.inspector}})
-	h.guild.Attach(doubter{h})
+	h.guild.Attach(guild.CrashCarrier{Book: crashStore{h.inspector}})
+	h.guild.Attach(staleMarker{h})
 }
 
 func (h *Host) assembleWork() {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -52,27 +52,27 @@
 	return nil
 }
 
-// crashBook gives the reports of the inspection to exchanges.
-type crashBook struct {
+// crashStore gives the reports of the inspection to exchanges.
+type crashStore struct {
 	inspector *inspection.Inspector
 }
 
 // Reports returns the reports worth sending.
-func (b crashBook) Reports() []ebonyworks.CrashReport { return b.inspector.Reports() }
+func (b crashStore) Reports() []ebonyworks.CrashReport { return b.inspector.Reports() }
 
 // Learn takes the reports of another host.
-func (b crashBook) Learn(reports []ebonyworks.CrashReport) { b.inspector.Merge(reports) }
+func (b crashStore) Learn(reports []ebonyworks.CrashReport) { b.inspector.Merge(reports) }
 
-// doubter marks the facts about servers as stale after a pause of the process.
-type doubter struct {
+// staleMarker marks the facts about servers as stale after a pause of the process.
+type staleMarker struct {
 	host *Host
 }
 
 // Contribute adds nothing.
-func (d doubter) Contribute(*ebonyworks.Exchange, int) {}
+func (d staleMarker) Contribute(*ebonyworks.Exchange, int) {}
 
-// Absorb learns nothing.
-func (d doubter) Absorb(ebonyworks.Exchange, time.Time) {}
+// Receive learns nothing.
+func (d staleMarker) Receive(ebonyworks.Exchange, time.Time) {}
 
-// Doubt marks what is known of servers as stale.
-func (d doubter) Doubt() { d.host.register.MarkStale(time.Now()) }
+// MarkStale marks what is known of servers as stale.
+func (d staleMarker) MarkStale() { d.host.register.MarkStale(time.Now()) }
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -135,7 +135,7 @@
 		Seeds:     []netip.AddrPort{address(0), address(1), address(2)},
 		Keys:      []ticket.Key{key},
 		Backend:   m,
-		Platform:  sight{m},
+		Platform:  platformView{m},
 		Peer:      s.network.Link(m.address),
 		Documents: notice.Codec{},
 		HeadKey:   notice.HeadKey,
@@ -346,13 +346,13 @@
 	return m.site.report(server.ID, state), ebonyworks.AttemptServed
 }
 
-// sight is the platform as one host sees it.
-type sight struct {
+// platformView is the platform as one host sees it.
+type platformView struct {
 	*member
 }
 
 // Read returns a value unless the host can't reach the platform.
-func (v sight) Read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
+func (v platformView) Read(ctx context.Context, key ebonyworks.Key) (ebonyworks.Value, error) {
 	if v.blind.Load() {
 		return ebonyworks.Value{}, values.ErrUnavailable
 	}
@@ -360,7 +360,7 @@
 }
 
 // Watch waits for a value unless the host can't reach the platform.
-func (v sight) Watch(ctx context.Context, key ebonyworks.Key, after ebonyworks.Version) (ebonyworks.Value, error) {
+func (v platformView) Watch(ctx context.Context, key ebonyworks.Key, after ebonyworks.Version) (ebonyworks.Value, error) {
 	if v.blind.Load() {
 		return ebonyworks.Value{}, values.ErrUnavailable
 	}
@@ -368,6 +368,6 @@
 }
 
 // Hosts returns an empty host list; hosts find each other by their seeds.
-func (v sight) Hosts(ctx context.Context) ([]ebonyworks.ListedHost, error) {
+func (v platformView) Hosts(ctx context.Context) ([]ebonyworks.ListedHost, error) {
 	return v.site.values.Hosts(ctx)
 }
--- a/protocol/dispatch/dispatch_test.go
+++ b/protocol/dispatch/dispatch_test.go
@@ -138,7 +138,7 @@
 	closed, err := dispatch.DecodeLedger(dispatch.EncodeLedger(ledger, now), now)
 	require.NoError(t, err)
 	assert.Equal(t, ledger, closed)
-	// The heir's clock must not change what the absence of a record means.
+	// The successor's clock must not change what the absence of a record means.
 	closed, err = dispatch.DecodeLedger(dispatch.EncodeLedger(ledger, now), now.Add(-time.Hour))
 	require.NoError(t, err)
 	assert.Equal(t, complete, closed.CompleteAfter)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -175,7 +175,7 @@
 
 // see returns what a replica sees of a key, and a channel that is closed when
 // the replica becomes stale or fresh.
-func (p *Platform) see(key ebonyworks.Key, replica int) (sight, <-chan struct{}) {
+func (p *Platform) see(key ebonyworks.Key, replica int) (platformView, <-chan struct{}) {
 	until, stale, switched := p.horizon(replica)
 	seen := p.store.see(key, until)
 	if stale {
@@ -186,7 +186,7 @@
 
 // watch waits until the replica sees a version after the given one or the
 // wait is over, and returns what it sees then.
-func (p *Platform) watch(ctx context.Context, key ebonyworks.Key, replica int, after ebonyworks.Version, wait time.Duration) sight {
+func (p *Platform) watch(ctx context.Context, key ebonyworks.Key, replica int, after ebonyworks.Version, wait time.Duration) platformView {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -84,8 +84,8 @@
 	return history[len(history)-1], true
 }
 
-// sight is what one replica sees of a key.
-type sight struct {
+// platformView is what one replica sees of a key.
+type platformView struct {
 	revision revision
 	found    bool
 	// next is how long until the replica sees a newer version; zero if there
@@ -97,10 +97,10 @@
 
 // see returns the newest version that was written until the given time. If
 // older versions were dropped, a replica sees the oldest that is kept.
-func (s *store) see(key ebonyworks.Key, until time.Time) sight {
+func (s *store) see(key ebonyworks.Key, until time.Time) platformView {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := sight{changed: s.changed}
+	seen := platformView{changed: s.changed}
 	history := s.keys[key]
 	dropped := len(history) == maxHistory
 	for i, candidate := range history {
--- a/transport/courier/exchange_bench_test.go
+++ b/transport/courier/exchange_bench_test.go
@@ -127,9 +127,9 @@
 	message.ConfirmedAge = time.Second
 }
 
-func (stamp) Absorb(ebonyworks.Exchange, time.Time) {}
+func (stamp) Receive(ebonyworks.Exchange, time.Time) {}
 
-func (stamp) Doubt() {}
+func (stamp) MarkStale() {}
 
 // member returns a guild that knows size members and 20 leaving servers.
 func member(b *testing.B, index, size int, address netip.AddrPort, client *courier.Client) *guild.Guild {
--- a/transport/courier/fleet_test.go
+++ b/transport/courier/fleet_test.go
@@ -60,7 +60,7 @@
 			Self:  ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprintf("entry-%d", i)), Incarnation: 1, Address: address},
 			Seeds: []netip.AddrPort{seed}, Peer: c, Platform: unavailable{}, Random: rand.New(rand.NewPCG(1, uint64(i))),
 		})
-		trackers[i] = departure.New(departure.Config{Hasten: guilds[i].Hasten})
+		trackers[i] = departure.New(departure.Config{SendNow: guilds[i].SendNow})
 		guilds[i].Attach(trackers[i])
 		server := courier.NewServer(&memberHandler{guild: guilds[i]})
 		ctx, cancel := context.WithCancel(t.Context())
