--- a/coordination/guild/crash.go
+++ b/coordination/guild/crash.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Receive hands the reports to the book.
+// Receive hands the reports to the store.
 func (c CrashCarrier) Receive(message ebonyworks.Exchange, _ time.Time) {
 	if len(message.Crashes) > 0 {
 		c.Book.Learn(message.Crashes)
