Pay probes of slow servers from the budget of retries

Cause: probes took one to two of the five percent that searches have for hedges, so with a straggler in each service some slow first attempts got no hedge.

--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -175,8 +175,9 @@
 }
 
 // startFirst starts the first attempt, and returns false if no server is left.
-// If a slow server needs a probe, it gets a copy of the request from the budget
-// of hedges: a probe in place of the attempt would make the caller wait.
+// If a slow server needs a probe, it gets a copy of the request: a probe in place
+// of the attempt would make the caller wait. The copy takes from the budget of
+// retries, which leaves the hedges to searches that wait for a slow reply.
 func (s *shardRun) startFirst(ctx context.Context) bool {
 	coordinator := s.run.coordinator
 	offered := s.run.eligible(coordinator.Directory.FirstCandidates(s.shard.service, s.run.request.route), nil)
@@ -186,7 +187,7 @@
 	}
 	s.start(ctx, candidate, false, false)
 	for _, slow := range offered {
-		if slow.Probe && slow.Server.ID != candidate.Server.ID && coordinator.Hedging.AllowHedge(s.shard.service.ID) {
+		if slow.Probe && slow.Server.ID != candidate.Server.ID && coordinator.Hedging.AllowRetry(s.shard.service.ID) {
 			s.probe(ctx, slow)
 		}
 	}
--- a/state/register/record.go
+++ b/state/register/record.go
@@ -46,7 +46,7 @@
 }
 
 // offer marks the candidate for the probe that is due. After a good probe the
-// next ones take the place of attempts: copies would use up the budget of hedges
+// next ones take the place of attempts: copies would use up the budget of retries
 // when many servers recover together.
 func (k *record) offer(candidate *ebonyworks.Candidate) {
 	if k.promising {
