--- a/load/scenario/scenario_test.go
+++ b/load/scenario/scenario_test.go
@@ -109,7 +109,7 @@
 		require.Empty(t, problems)
 		settings, problems := scenario.Decode(text, configuration)
 		require.Empty(t, problems)
-		assert.Len(t, settings.Scenarios, 14)
+		assert.Len(t, settings.Scenarios, 15)
 		for _, each := range settings.Scenarios {
 			assert.LessOrEqual(t, each.WarmUp+each.Duration(), 26*time.Second, each.Name)
 		}
