--- a/transport/stockroom/benchmark_test.go
+++ b/transport/stockroom/benchmark_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -30,17 +31,29 @@
 // of rows in each reply, until its standard input ends.
 const serveVariable = "EBONYWORKS_BENCHMARK_SERVER"
 
-// TestBenchmarkServer is the server side of the benchmarks. It runs in a
-// process of its own, so that the processor time of the client is known.
-func TestBenchmarkServer(t *testing.T) {
+// TestMain runs the server side of the benchmarks if the variable is set. The
+// server has a process of its own, so that the processor time of the client is
+// known.
+func TestMain(m *testing.M) {
 	text, found := os.LookupEnv(serveVariable)
 	if !found {
-		t.Skip("runs only as the server of a benchmark")
+		os.Exit(m.Run())
 	}
+	if err := serveBenchmark(text); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func serveBenchmark(text string) error {
 	rows, err := strconv.Atoi(text)
-	require.NoError(t, err)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	if err != nil {
+		return err
+	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Protocols: protocols, Handler: benchmarkHandler(rows)}
@@ -49,10 +62,15 @@
 	fmt.Println(listener.Addr())
 	// Each line asks for the processor time that this process has used.
 	for lines := bufio.NewScanner(os.Stdin); lines.Scan(); {
-		fmt.Println(processorTime(t).Nanoseconds())
+		fmt.Println(processorTime().Nanoseconds())
+	}
+	if err := server.Close(); err != nil {
+		return err
 	}
-	require.NoError(t, server.Close())
-	require.ErrorIs(t, <-done, http.ErrServerClosed)
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
 }
 
 // benchmarkHandler answers for the server that the shard is named after.
@@ -88,7 +106,7 @@
 
 func startServer(b *testing.B, rows int) serverProcess {
 	b.Helper()
-	command := exec.Command(os.Args[0], "-test.run=^TestBenchmarkServer$")
+	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), serveVariable+"="+strconv.Itoa(rows))
 	input, err := command.StdinPipe()
 	require.NoError(b, err)
@@ -150,7 +168,7 @@
 	perConnection := float64(heapBytes()-heap) / float64(servers)
 	b.ReportAllocs()
 	serverBefore := process.processorTime(b)
-	before := processorTime(b)
+	before := processorTime()
 	for b.Loop() {
 		var sending sync.WaitGroup
 		for _, target := range targets {
@@ -158,7 +176,7 @@
 		}
 		sending.Wait()
 	}
-	used := processorTime(b) - before
+	used := processorTime() - before
 	serverUsed := process.processorTime(b) - serverBefore
 	b.ReportMetric(float64(used.Nanoseconds())/float64(b.N*servers), "cpu-ns/sub")
 	b.ReportMetric(float64(serverUsed.Nanoseconds())/float64(b.N*servers), "server-ns/sub")
@@ -177,7 +195,7 @@
 			target := ebonyworks.Server{ID: "a", Address: startServer(b, 1).address}
 			sendTo(b, client, target)
 			b.ReportAllocs()
-			before := processorTime(b)
+			before := processorTime()
 			for b.Loop() {
 				var sending sync.WaitGroup
 				for range streams {
@@ -185,7 +203,7 @@
 				}
 				sending.Wait()
 			}
-			used := processorTime(b) - before
+			used := processorTime() - before
 			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N*streams), "cpu-ns/sub")
 		})
 	}
@@ -208,10 +226,10 @@
 	return stats.HeapAlloc
 }
 
-// processorTime returns the processor time that the process has used.
-func processorTime(b testing.TB) time.Duration {
-	b.Helper()
+// processorTime returns the processor time that the process has used. The call
+// fails only for arguments that don't exist.
+func processorTime() time.Duration {
 	var usage syscall.Rusage
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
