--- /dev/null
+++ b/coordination/search/example_test.go
@@ -0,0 +1,43 @@
+package search_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/admission"
+	"github.com/ebonyworks/ebonyworks/coordination/hedging"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/quota"
+	"github.com/ebonyworks/ebonyworks/coordination/search"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+)
+
+func Example() {
+	// The world is a set of fake servers with four services of two servers each.
+	servers := newWorld(1)
+	servers.reportAll(ebonyworks.Snapshot{Number: 7, Epoch: 1})
+	coordinator := &search.Coordinator{
+		Backend:    servers,
+		Editions:   servers,
+		Directory:  directory{},
+		Catalogue:  &servers.catalogue,
+		Selection:  &selection.Selector{},
+		Hedging:    &hedging.Budget{},
+		Quota:      quota.New(1),
+		Inspection: &inspection.Inspector{},
+		Admission:  &admission.Gate{},
+	}
+	outcome := coordinator.Search(context.Background(), ebonyworks.Search{
+		Request:  "r1",
+		Route:    routeID,
+		House:    "fitting-room-1",
+		Deadline: time.Now().Add(time.Second),
+	})
+	fmt.Println("snapshot", outcome.Answer.Snapshot.Number)
+	fmt.Println("covered", len(outcome.Answer.Coverage.Covered), "missed", len(outcome.Answer.Coverage.Missed))
+	// Output:
+	// snapshot 7
+	// covered 4 missed 0
+}
