Wait through one package in membership and dissemination

guild and bulletin each had their own wait loop and signal; only bulletin's had the guard against timers of zero that crash Go 1.26 in race builds. Both now use coordination/wakeup.

--- a/coordination/bulletin/accept.go
+++ b/coordination/bulletin/accept.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/event"
 	"github.com/ebonyworks/ebonyworks/state/edition"
 )
@@ -108,19 +109,19 @@
 		}
 		if entered.source.IsValid() {
 			known.source, known.due, known.nextGather, known.backoff = entered.source, now, now, 0
-			signal(b.acceptWake)
+			wakeup.Signal(b.acceptWake)
 		}
 		return
 	}
 	b.candidates = append(b.candidates, entered)
 	slices.SortFunc(b.candidates, func(x, y candidate) int { return y.mark.Compare(x.mark) })
 	b.candidates = b.candidates[:min(len(b.candidates), maxCandidates)]
-	signal(b.acceptWake)
+	wakeup.Signal(b.acceptWake)
 }
 
 // accept puts candidates in force when they are due, the newest first.
 func (b *Bulletin) accept(ctx context.Context) {
-	for wait(ctx, b.untilDue(time.Now()), b.acceptWake) {
+	for wakeup.Wait(ctx, b.untilDue(time.Now()), b.acceptWake) {
 		for _, incomplete := range b.incompleteCandidates(time.Now()) {
 			b.tasks.Go(func() { b.complete(ctx, incomplete) })
 		}
@@ -210,7 +211,7 @@
 		return c.parts == nil && now.Sub(c.entered) > incompleteTime
 	})
 	b.mu.Unlock()
-	signal(b.acceptWake)
+	wakeup.Signal(b.acceptWake)
 	if err != nil && incomplete.failures == 0 {
 		b.record(event.ConfigurationIncomplete, append(markAttributes(incomplete.mark), event.Attribute("Error", err.Error()))...)
 	}
@@ -251,7 +252,7 @@
 	}
 	b.reportAccepted(due, before)
 	b.config.Membership.SendNow()
-	signal(b.settleWake)
+	wakeup.Signal(b.settleWake)
 	return true
 }
 
--- a/coordination/bulletin/bulletin.go
+++ b/coordination/bulletin/bulletin.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/event"
 	"github.com/ebonyworks/ebonyworks/state/edition"
 )
@@ -186,7 +187,7 @@
 		b.hear(message)
 	}
 	if asked.IsZero() && message.Settled && !b.settled {
-		signal(b.settleWake)
+		wakeup.Signal(b.settleWake)
 	}
 	if asked.IsZero() || asked.Before(b.doubted) {
 		return
@@ -212,7 +213,7 @@
 	b.answers = nil
 	b.service.equal = 0
 	b.mu.Unlock()
-	signal(b.settleWake)
+	wakeup.Signal(b.settleWake)
 }
 
 // confirm notes that the host read the service at the time and saw nothing
@@ -250,29 +251,3 @@
 		addresses[i], addresses[j] = addresses[j], addresses[i]
 	})
 }
-
-// wait waits for the time or the signal, or returns false if the context ended.
-func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	// Go 1.26 crashes now and then when a timer of zero ends in a synctest
-	// bubble under the race detector.
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	case <-wake:
-		return true
-	}
-}
-
-func signal(wake chan struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
-}
--- a/coordination/bulletin/peers.go
+++ b/coordination/bulletin/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/event"
 )
 
@@ -60,7 +61,7 @@
 		b.heard = slices.Delete(b.heard, 0, 1)
 	}
 	b.heard = append(b.heard, heardMark{mark: message.Mark, from: from, at: time.Now()})
-	signal(b.pullWake)
+	wakeup.Signal(b.pullWake)
 }
 
 func (b *Bulletin) noteAnswer(received answer) {
@@ -83,16 +84,16 @@
 		if len(sources) == 0 {
 			continue
 		}
-		if !b.pullFrom(ctx, sources) && !wait(ctx, b.uniform(pullRetry/2, pullRetry), nil) {
+		if !b.pullFrom(ctx, sources) && !wakeup.Wait(ctx, b.uniform(pullRetry/2, pullRetry), nil) {
 			return
 		}
 		if b.stillHeard() {
 			// Heard marks leave the list when they are accepted, refused or
 			// too old.
-			if !wait(ctx, pullRetry, b.pullWake) {
+			if !wakeup.Wait(ctx, pullRetry, b.pullWake) {
 				return
 			}
-			signal(b.pullWake)
+			wakeup.Signal(b.pullWake)
 		}
 	}
 }
@@ -151,7 +152,7 @@
 	for {
 		delay := settleFirst
 		for round := 1; !b.trySettle(ctx, round); round++ {
-			if !wait(ctx, b.uniform(delay/2, delay), b.settleWake) {
+			if !wakeup.Wait(ctx, b.uniform(delay/2, delay), b.settleWake) {
 				return
 			}
 			switch {
--- a/coordination/bulletin/watch.go
+++ b/coordination/bulletin/watch.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/event"
 )
 
@@ -88,7 +89,7 @@
 	for ctx.Err() == nil {
 		if !b.chosen() {
 			failures = 0
-			if !wait(ctx, b.uniform(roleInterval/2, 3*roleInterval/2), nil) {
+			if !wakeup.Wait(ctx, b.uniform(roleInterval/2, 3*roleInterval/2), nil) {
 				return
 			}
 			continue
@@ -109,7 +110,7 @@
 		if time.Since(asked) < roleInterval {
 			pause = max(pause, roleInterval)
 		}
-		if !wait(ctx, b.uniform(pause/2, 3*pause/2), nil) {
+		if !wakeup.Wait(ctx, b.uniform(pause/2, 3*pause/2), nil) {
 			return
 		}
 	}
@@ -127,7 +128,7 @@
 	b.mu.Lock()
 	b.service.nextSeldom = time.Now().Add(time.Duration(b.random.Float64() * float64(seldomInterval)))
 	b.mu.Unlock()
-	for wait(ctx, b.uniform(roleInterval/2, 3*roleInterval/2), nil) {
+	for wakeup.Wait(ctx, b.uniform(roleInterval/2, 3*roleInterval/2), nil) {
 		if b.mustRead(time.Now()) {
 			b.readHead(ctx)
 		}
--- a/coordination/guild/guild.go
+++ b/coordination/guild/guild.go
@@ -254,28 +254,3 @@
 		addresses[i], addresses[j] = addresses[j], addresses[i]
 	})
 }
-
-// sleep waits, or returns false if the context ended.
-func sleep(ctx context.Context, d time.Duration) bool { return sleepOr(ctx, d, nil) }
-
-// sleepOr waits for the time or the signal, or returns false if the context
-// ended.
-func sleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	case <-wake:
-		return true
-	}
-}
-
-func signal(wake chan struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
-}
--- a/coordination/guild/probe.go
+++ b/coordination/guild/probe.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/event"
 )
 
 // probe checks one member in each interval, each member once per round, and
 // now and then a host that doesn't answer.
 func (g *Guild) probe(ctx context.Context) {
-	for sleep(ctx, g.jitter(probeInterval, 0.1)) {
+	for wakeup.Wait(ctx, g.jitter(probeInterval, 0.1), nil) {
 		for _, member := range g.roster.Expire(g.suspicionTime(), time.Now()) {
 			g.record(event.MemberDied, hostAttributes(member.Host)...)
 		}
--- a/coordination/guild/refresh.go
+++ b/coordination/guild/refresh.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/event"
 )
 
@@ -29,7 +30,7 @@
 
 // beat watches the host's own clock.
 func (g *Guild) beat(ctx context.Context) {
-	for sleep(ctx, beatInterval) {
+	for wakeup.Wait(ctx, beatInterval, nil) {
 		if g.config.Beat != nil {
 			g.config.Beat()
 		}
@@ -61,7 +62,7 @@
 		contributor.MarkStale()
 	}
 	g.record(event.ProcessPaused, event.Attribute("Gap", gap.String()))
-	signal(g.refreshWake)
+	wakeup.Signal(g.refreshWake)
 	return true
 }
 
@@ -70,7 +71,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.refreshed {
-		signal(g.refreshWake)
+		wakeup.Signal(g.refreshWake)
 	}
 }
 
@@ -94,7 +95,7 @@
 	for {
 		wait := refreshFirst
 		for !g.tryRefresh(ctx) {
-			if !sleepOr(ctx, g.jitter(wait, 0.3), g.refreshWake) {
+			if !wakeup.Wait(ctx, g.jitter(wait, 0.3), g.refreshWake) {
 				return
 			}
 			wait = min(2*wait, refreshLast)
@@ -176,7 +177,7 @@
 // readList reads the platform's host list at an interval.
 func (g *Guild) readList(ctx context.Context) {
 	failures := 0
-	for sleep(ctx, g.listWait(failures)) {
+	for wakeup.Wait(ctx, g.listWait(failures), nil) {
 		failures++
 		if g.fetchList(ctx) {
 			failures = 0
--- a/coordination/guild/spread.go
+++ b/coordination/guild/spread.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 )
 
 // Constants of the immediate spread; docs/dissemination.md has the figures
@@ -43,7 +44,7 @@
 }
 
 // SendNow makes the next messages go out now, because an urgent fact is new.
-func (g *Guild) SendNow() { signal(g.spreadWake) }
+func (g *Guild) SendNow() { wakeup.Signal(g.spreadWake) }
 
 // spread sends bursts of messages when there is something urgent.
 func (g *Guild) spread(ctx context.Context) {
@@ -55,16 +56,16 @@
 		}
 		if !g.takeBurst() {
 			// The next token takes at most this long.
-			if !sleep(ctx, time.Second/burstsPerSecond) {
+			if !wakeup.Wait(ctx, time.Second/burstsPerSecond, nil) {
 				return
 			}
-			signal(g.spreadWake)
+			wakeup.Signal(g.spreadWake)
 			continue
 		}
 		for _, target := range g.spreadTargets() {
 			g.tasks.Go(func() { _, _ = g.exchange(ctx, target, false) })
 		}
-		if !sleep(ctx, burstGap) {
+		if !wakeup.Wait(ctx, burstGap, nil) {
 			return
 		}
 	}
--- /dev/null
+++ b/coordination/wakeup/wakeup.go
@@ -0,0 +1,36 @@
+// Package wakeup waits for a time that a signal can cut short.
+package wakeup
+
+import (
+	"context"
+	"time"
+)
+
+// Wait waits for the time or the signal, or returns false if the context
+// ended. A nil signal never comes.
+func Wait(ctx context.Context, d time.Duration, signal <-chan struct{}) bool {
+	// Go 1.26 crashes now and then when a timer of zero ends in a synctest
+	// bubble under the race detector.
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-signal:
+		return true
+	}
+}
+
+// Signal ends the current or the next wait for the channel, which has a buffer
+// of one. Signals that nobody has taken yet count once.
+func Signal(signal chan<- struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
