--- a/backend.go
+++ b/backend.go
@@ -96,6 +96,9 @@
 	// AttemptRejected means that the server refused before starting, because
 	// it regards the request as malformed.
 	AttemptRejected
+	// AttemptFailed means that the server replied in full, with a failure of
+	// its own. The request may have run.
+	AttemptFailed
 )
 
 // ProvesNotRun reports whether the server can't have started the request.
@@ -158,6 +161,8 @@
 		return "invalid"
 	case AttemptRejected:
 		return "rejected"
+	case AttemptFailed:
+		return "failed"
 	default:
 		return "lost"
 	}
--- /dev/null
+++ b/cmd/ebony-front/main.go
@@ -0,0 +1,13 @@
+// Command ebony-front forwards callers' requests to backend servers on the
+// users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/ebonyworks/ebonyworks/platform"
+)
+
+func main() {
+	os.Exit(platform.Run(os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/coordination/allowance/allowance.go
@@ -0,0 +1,176 @@
+// Package allowance bounds the repeats of a fleet of hosts at each service
+// without shared state.
+package allowance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	// MaxServices bounds the services with state; others get no repeats.
+	MaxServices = 4096
+	// buckets divide the window. A repeat counts for up to one bucket longer
+	// than the window, which errs on the safe side.
+	buckets = 20
+	// restarts is how often in one window each host may have lost its counts
+	// and start again with its whole part of the slack.
+	restarts = 2
+	// margin is the part of the ratio that is spent. The rest covers requests
+	// that this host counts and that the fleet's window has already lost.
+	margin = 0.9
+)
+
+// Bound is what all hosts together may add to a service's requests within any
+// window: Ratio of the requests, and Slack.
+type Bound struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Ledger grants this host's part of the bound: the ratio of its own requests
+// and an equal part of the slack. The sum over all hosts keeps the bound
+// without any exchange, since it is linear in the requests. It is safe for
+// concurrent use. The zero value grants nothing.
+type Ledger struct {
+	mutex sync.Mutex
+	bound Bound
+	// origin is when the buckets are counted from.
+	origin time.Time
+	// hosts is the number of hosts that share the slack, at least 1.
+	hosts int
+	// services has at most MaxServices entries.
+	services map[ebonyworks.ServiceID]*account
+}
+
+// account counts requests and repeats of one service.
+type account struct {
+	// slot is the number of the newest bucket.
+	slot     int64
+	requests [buckets + 1]int
+	repeats  [buckets + 1]int
+}
+
+// New returns a ledger for one of the given number of hosts.
+func New(bound Bound, hosts int) *Ledger {
+	return &Ledger{bound: bound, origin: time.Now(), hosts: max(hosts, 1)}
+}
+
+// SetHosts changes the number of hosts that share the slack.
+func (l *Ledger) SetHosts(hosts int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.hosts = max(hosts, 1)
+}
+
+// Count counts a request of a caller for the service.
+func (l *Ledger) Count(service ebonyworks.ServiceID) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if known := l.open(service); known != nil {
+		known.requests[known.index(l.now())]++
+	}
+}
+
+// Take takes one repeat from the allowance, or returns false.
+func (l *Ledger) Take(service ebonyworks.ServiceID) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.open(service)
+	if known == nil {
+		return false
+	}
+	index := known.index(l.now())
+	if l.left(known) < 1 {
+		return false
+	}
+	known.repeats[index]++
+	return true
+}
+
+// Left returns the repeats that can be taken now. Negative values mean that
+// the allowance has shrunk.
+func (l *Ledger) Left(service ebonyworks.ServiceID) float64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.open(service)
+	if known == nil {
+		return 0
+	}
+	known.index(l.now())
+	return l.left(known)
+}
+
+// Return gives back a repeat that reached no server.
+func (l *Ledger) Return(service ebonyworks.ServiceID) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.open(service)
+	if known == nil {
+		return
+	}
+	if index := known.index(l.now()); known.repeats[index] > 0 {
+		known.repeats[index]--
+	}
+}
+
+// Retain drops the accounts of services that aren't named.
+func (l *Ledger) Retain(named map[ebonyworks.ServiceID]bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for id := range l.services {
+		if !named[id] {
+			delete(l.services, id)
+		}
+	}
+}
+
+func (l *Ledger) left(known *account) float64 {
+	requests, repeats := known.sums()
+	slack := l.bound.Slack / float64(max(l.hosts, 1)*restarts)
+	return margin*l.bound.Ratio*float64(requests) + slack - float64(repeats)
+}
+
+func (l *Ledger) open(service ebonyworks.ServiceID) *account {
+	if l.bound.Window <= 0 {
+		return nil
+	}
+	known := l.services[service]
+	if known != nil || len(l.services) >= MaxServices {
+		return known
+	}
+	if l.services == nil {
+		l.services = make(map[ebonyworks.ServiceID]*account)
+	}
+	known = &account{slot: l.now()}
+	l.services[service] = known
+	return known
+}
+
+// now returns the number of the current bucket.
+func (l *Ledger) now() int64 {
+	return int64(time.Since(l.origin) / (l.bound.Window / buckets))
+}
+
+// index moves the account to the current bucket and returns its place.
+func (a *account) index(now int64) int {
+	for steps := 0; a.slot < now && steps <= buckets; steps++ {
+		a.slot++
+		place := int(a.slot % (buckets + 1))
+		a.requests[place] = 0
+		a.repeats[place] = 0
+	}
+	a.slot = max(a.slot, now)
+	return int(a.slot % (buckets + 1))
+}
+
+func (a *account) sums() (requests, repeats int) {
+	for i := range a.requests {
+		requests += a.requests[i]
+		repeats += a.repeats[i]
+	}
+	return requests, repeats
+}
--- /dev/null
+++ b/coordination/delay/estimator.go
@@ -0,0 +1,193 @@
+// Package delay learns when an attempt has taken longer than usual for its
+// route.
+package delay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	// MaxRoutes bounds the routes with state; others use the initial delay.
+	MaxRoutes = 1024
+
+	// percentile leaves one attempt in ten to be hedged, half of a repeat
+	// budget of 20%. The other half is for faults.
+	percentile = 90
+	median     = 50
+	// minSamples is one fan-out to 20 shards.
+	minSamples = 20
+	window     = 5 * time.Second
+	// refreshInterval bounds how often the percentile is computed.
+	refreshInterval = 100 * time.Millisecond
+	// minDelay is a round trip between the domains that are farthest apart.
+	minDelay = 3 * time.Millisecond
+	// initialPart and largestPart are parts of the target latency. A hedge that
+	// is sent later than half of the target has little time left.
+	initialPart = 0.25
+	largestPart = 0.5
+	// overloadFactor is how far the median rises above its floor when queues
+	// stand at most servers of a route. Hedges would then lengthen the queues.
+	overloadFactor = 4
+	// overloadSlack is a rise of the median that is never taken as overload.
+	overloadSlack = 10 * time.Millisecond
+	// floorTime is how long the smallest median counts at least.
+	floorTime = 30 * time.Second
+
+	unit     = 100 * time.Microsecond
+	maxUnits = int64(10 * time.Second / unit)
+	digits   = 2
+)
+
+// Estimator holds the recent latencies of attempts by route. It is safe for
+// concurrent use. The zero value is usable.
+type Estimator struct {
+	mutex sync.Mutex
+	// routes has at most MaxRoutes entries.
+	routes map[ebonyworks.RouteID]*route
+	// merged is scratch space to compute percentiles.
+	merged *hdrhistogram.Histogram
+}
+
+type route struct {
+	current, previous *hdrhistogram.Histogram
+	windowEnd         time.Time
+	refresh           time.Time
+	// usual and high are the median and the percentile; zero if unknown.
+	usual, high time.Duration
+	// floor and lastFloor are the smallest medians of this and the last floorTime.
+	floor, lastFloor time.Duration
+	floorEnd         time.Time
+}
+
+// Observe learns the latency of an attempt that was served, or the time after
+// which it was given up.
+func (e *Estimator) Observe(id ebonyworks.RouteID, latency time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	known := e.open(id)
+	if known == nil {
+		return
+	}
+	known.rotate(time.Now())
+	units := min(max(int64(latency/unit), 1), maxUnits)
+	// The value is within the range of the histogram.
+	_ = known.current.RecordValue(units)
+}
+
+// Delay returns how long to wait for an attempt before a hedge, and false if
+// the route's servers are overloaded, so that hedges would add to their queues.
+func (e *Estimator) Delay(id ebonyworks.RouteID, target time.Duration) (time.Duration, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	initial := part(target, initialPart)
+	known := e.routes[id]
+	if known == nil {
+		return max(initial, minDelay), true
+	}
+	e.update(known, time.Now())
+	if known.high == 0 {
+		return max(initial, minDelay), true
+	}
+	return max(min(known.high, part(target, largestPart)), minDelay), !known.overloaded()
+}
+
+// Usual returns the median latency of the route's attempts, or zero.
+func (e *Estimator) Usual(id ebonyworks.RouteID) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	known := e.routes[id]
+	if known == nil {
+		return 0
+	}
+	e.update(known, time.Now())
+	return known.usual
+}
+
+// Retain drops the state of routes that aren't named.
+func (e *Estimator) Retain(named map[ebonyworks.RouteID]bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for id := range e.routes {
+		if !named[id] {
+			delete(e.routes, id)
+		}
+	}
+}
+
+func (e *Estimator) open(id ebonyworks.RouteID) *route {
+	known := e.routes[id]
+	if known != nil || len(e.routes) >= MaxRoutes {
+		return known
+	}
+	if e.routes == nil {
+		e.routes = make(map[ebonyworks.RouteID]*route)
+	}
+	known = &route{current: newHistogram(), previous: newHistogram()}
+	e.routes[id] = known
+	return known
+}
+
+func (e *Estimator) update(known *route, now time.Time) {
+	if now.Before(known.refresh) {
+		return
+	}
+	known.refresh = now.Add(refreshInterval)
+	known.rotate(now)
+	if known.current.TotalCount()+known.previous.TotalCount() < minSamples {
+		return
+	}
+	if e.merged == nil {
+		e.merged = newHistogram()
+	}
+	e.merged.Reset()
+	e.merged.Merge(known.current)
+	e.merged.Merge(known.previous)
+	known.high = time.Duration(e.merged.ValueAtQuantile(percentile)) * unit
+	known.usual = time.Duration(e.merged.ValueAtQuantile(median)) * unit
+	known.learnFloor(now)
+}
+
+func (r *route) learnFloor(now time.Time) {
+	if now.After(r.floorEnd) {
+		r.lastFloor = r.floor
+		r.floor = 0
+		r.floorEnd = now.Add(floorTime)
+	}
+	if r.floor == 0 || r.usual < r.floor {
+		r.floor = r.usual
+	}
+}
+
+func (r *route) overloaded() bool {
+	floor := r.floor
+	if r.lastFloor > 0 {
+		floor = min(floor, r.lastFloor)
+	}
+	return r.usual > overloadFactor*floor && r.usual > floor+overloadSlack
+}
+
+// rotate starts a new window when the current one has ended.
+func (r *route) rotate(now time.Time) {
+	if now.Before(r.windowEnd) {
+		return
+	}
+	if now.After(r.windowEnd.Add(window)) {
+		r.current.Reset()
+	}
+	r.current, r.previous = r.previous, r.current
+	r.current.Reset()
+	r.windowEnd = now.Add(window)
+}
+
+func part(target time.Duration, of float64) time.Duration {
+	return time.Duration(float64(target) * of)
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxUnits, digits)
+}
--- /dev/null
+++ b/coordination/fanout/attempt.go
@@ -0,0 +1,118 @@
+package fanout
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// attemptKind tells why an attempt was made.
+type attemptKind string
+
+const (
+	attemptFirst attemptKind = "first"
+	attemptHedge attemptKind = "hedge"
+	attemptRetry attemptKind = "retry"
+	attemptProbe attemptKind = "probe"
+)
+
+// phase is where an attempt stands between the run and its own goroutine.
+type phase = int32
+
+const (
+	phaseWaiting phase = iota
+	phaseSent
+	phaseAbandoned
+)
+
+// attempt is one try of a leg at one server.
+type attempt struct {
+	leg       *leg
+	candidate ebonyworks.Candidate
+	kind      attemptKind
+	// charged is set if the attempt was taken from the repeats.
+	charged bool
+	// phase moves from phaseWaiting to one of the others, once.
+	phase atomic.Int32
+	// result and latency are set by the run when the attempt has ended.
+	result  ebonyworks.AttemptResult
+	latency time.Duration
+	ended   bool
+}
+
+type attemptEnd struct {
+	attempt  *attempt
+	record   ebonyworks.AttemptRecord
+	response ebonyworks.ServerResponse
+}
+
+// do waits for a permit, sends the request and passes on what it taught.
+func (a *attempt) do() {
+	run := a.leg.run
+	f := run.forwarder
+	record := ebonyworks.AttemptRecord{
+		Service: a.leg.id,
+		Server:  a.candidate.Server.ID,
+		Result:  ebonyworks.AttemptUnreachable,
+		Hedge:   a.kind == attemptHedge || a.kind == attemptProbe,
+		Retry:   a.kind == attemptRetry,
+	}
+	permit, ok := f.Quota.Acquire(run.waiting, a.leg.view, a.candidate.Server.ID)
+	if !ok {
+		run.ends <- attemptEnd{attempt: a, record: record}
+		return
+	}
+	if !a.phase.CompareAndSwap(phaseWaiting, phaseSent) {
+		permit.Release(record)
+		run.ends <- attemptEnd{attempt: a, record: record}
+		return
+	}
+	start := time.Now()
+	outcome := f.Backend.Send(run.sending, a.candidate.Server, run.request, run.deadline)
+	record.Latency = time.Since(start)
+	record.Result = a.check(outcome)
+	record.Report = outcome.Report
+	permit.Release(record)
+	a.learn(record)
+	run.ends <- attemptEnd{attempt: a, record: record, response: outcome.Response}
+}
+
+// check turns a response that can't be a part of a merged answer into a failed
+// attempt.
+func (a *attempt) check(outcome ebonyworks.ForwardAttempt) ebonyworks.AttemptResult {
+	if outcome.Result != ebonyworks.AttemptServed || !a.leg.run.route.Scattered() {
+		return outcome.Result
+	}
+	if outcome.Response.Status/100 != 2 || outcome.Response.Signature == "" {
+		return ebonyworks.AttemptFailed
+	}
+	return outcome.Result
+}
+
+func (a *attempt) learn(record ebonyworks.AttemptRecord) {
+	run := a.leg.run
+	f := run.forwarder
+	f.Servers.Observe(record)
+	switch record.Result {
+	case ebonyworks.AttemptServed, ebonyworks.AttemptCancelled, ebonyworks.AttemptTimeout:
+		f.Delays.Observe(run.route.ID, record.Latency)
+	case ebonyworks.AttemptLost:
+		if f.Inspection != nil {
+			f.Inspection.Died(run.fingerprint, record.Server, a.candidate.Incarnation)
+		}
+	default:
+	}
+	if f.Observer != nil {
+		f.Observer.AttemptEnded(record)
+	}
+}
+
+// provenNotRun reports whether the server can't have started the request and
+// won't, and keeps an attempt that waits for a permit from being sent.
+func (a *attempt) provenNotRun() bool {
+	if a.phase.CompareAndSwap(phaseWaiting, phaseAbandoned) || a.phase.Load() == phaseAbandoned {
+		return true
+	}
+	return a.ended && a.result.ProvesNotRun()
+}
--- /dev/null
+++ b/coordination/fanout/forwarder.go
@@ -0,0 +1,117 @@
+// Package fanout runs opaque requests on backend servers: on one server of one
+// service, or on one server of each shard.
+package fanout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+)
+
+// Directory lists the servers of services.
+type Directory interface {
+	// Service returns the servers in use, or nil if none is known. The result
+	// isn't changed later.
+	Service(id ebonyworks.ServiceID) *ebonyworks.Service
+}
+
+// Servers knows the state of each server.
+type Servers interface {
+	// Candidates returns the servers that may get an attempt. Only idempotent
+	// requests are offered probes of servers that may be slow or failing.
+	Candidates(service *ebonyworks.Service, idempotent bool) []ebonyworks.Candidate
+	// Observe learns from an ended attempt.
+	Observe(record ebonyworks.AttemptRecord)
+}
+
+// Repeats bounds the attempts beyond the first of each request at a service.
+type Repeats interface {
+	// Count counts a request of a caller.
+	Count(service ebonyworks.ServiceID)
+	// Take takes one repeat, or returns false.
+	Take(service ebonyworks.ServiceID) bool
+	// Return gives back a repeat that reached no server.
+	Return(service ebonyworks.ServiceID)
+}
+
+// Delays tells when an attempt has taken longer than usual.
+type Delays interface {
+	// Delay returns how long to wait for an attempt before a hedge, and false
+	// if hedges would add to an overload.
+	Delay(route ebonyworks.RouteID, target time.Duration) (time.Duration, bool)
+	// Observe learns the latency of an attempt.
+	Observe(route ebonyworks.RouteID, latency time.Duration)
+}
+
+// Observer receives the end of each request and attempt. It doesn't block.
+type Observer interface {
+	// AttemptEnded is called once for each attempt.
+	AttemptEnded(record ebonyworks.AttemptRecord)
+	// Forwarded is called once for each request.
+	Forwarded(report Report)
+}
+
+// Forwarder runs opaque requests. Its fields are set before the first use;
+// Inspection and Observer may be nil.
+type Forwarder struct {
+	// Table returns the routes in force, or nil if there are none yet.
+	Table      func() *routing.Table
+	Directory  Directory
+	Servers    Servers
+	Selection  ebonyworks.Selection
+	Quota      ebonyworks.Quota
+	Repeats    Repeats
+	Delays     Delays
+	Backend    ebonyworks.ForwardBackend
+	Inspection ebonyworks.Inspection
+	Observer   Observer
+}
+
+var _ ebonyworks.Forwarder = (*Forwarder)(nil)
+
+// startRetryAfter is when a host that has just started usually knows its
+// routes.
+const startRetryAfter = 300 * time.Millisecond
+
+// Forward runs the request under the configuration in force.
+func (f *Forwarder) Forward(ctx context.Context, request *ebonyworks.ForwardRequest) ebonyworks.ForwardReply {
+	table := f.Table()
+	if table == nil {
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: "no configuration is known yet", RetryAfter: startRetryAfter}
+	}
+	route, ok := table.Match(request.Host, request.Path())
+	if !ok {
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyNoRoute, Reason: "no route accepts the request"}
+	}
+	run := f.newRun(request, route, table.Configuration().Revision)
+	reply := run.do(ctx)
+	if f.Observer != nil {
+		f.Observer.Forwarded(run.report(reply))
+	}
+	return reply
+}
+
+// services returns the services that the request needs: all shards, or the
+// next one of the weighted backends.
+func services(route *routing.Route) []ebonyworks.ServiceID {
+	if route.Scattered() {
+		return route.Shards
+	}
+	return []ebonyworks.ServiceID{route.Next()}
+}
+
+// fingerprint identifies requests that make servers do the same work.
+func fingerprint(request *ebonyworks.ForwardRequest) ebonyworks.Fingerprint {
+	digest := xxhash.New()
+	for _, value := range []string{request.Method, request.Host, request.Target} {
+		// xxhash never returns an error.
+		_, _ = digest.WriteString(value)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(request.Body)
+	return ebonyworks.Fingerprint(digest.Sum64())
+}
--- /dev/null
+++ b/coordination/fanout/leg.go
@@ -0,0 +1,193 @@
+package fanout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// maxResends bounds the attempts of a leg beyond MaxAttempts whose servers
+// proved that they didn't run the request.
+const maxResends = 2
+
+// leg is the part of a run that concerns one service. It belongs to the
+// goroutine of the run.
+type leg struct {
+	run *run
+	id  ebonyworks.ServiceID
+	// view is nil if no server is known.
+	view *ebonyworks.Service
+	// asked are the servers that got an attempt.
+	asked []ebonyworks.ServerID
+	// started counts the attempts, and spent those that may have run.
+	started, spent int
+	inFlight       int
+	// due is when a hedge is considered; zero if none is.
+	due time.Time
+	// done is set once response is the answer of the leg.
+	done     bool
+	response ebonyworks.ServerResponse
+	// failure is the failure of its own that a server replied with.
+	failure *ebonyworks.ServerResponse
+	// lost is set once a server went away under the request.
+	lost bool
+	last ebonyworks.AttemptResult
+	// starved is set if a repeat was needed and not allowed.
+	starved bool
+}
+
+func (l *leg) open() bool { return !l.done && l.inFlight > 0 }
+
+func (l *leg) reason() string {
+	switch {
+	case l.view == nil:
+		return "no server of service " + string(l.id) + " is known"
+	case l.started == 0:
+		return "no server of service " + string(l.id) + " is usable"
+	case l.inFlight > 0:
+		return "no response of service " + string(l.id) + " in time"
+	case l.starved:
+		return "service " + string(l.id) + " failed (" + l.last.String() + ") and the repeat budget is used up"
+	default:
+		return "service " + string(l.id) + " failed: " + l.last.String()
+	}
+}
+
+// startFirst starts the first attempt, and a copy of the request at a server
+// that needs a probe.
+func (l *leg) startFirst(now time.Time) {
+	if l.view == nil {
+		return
+	}
+	candidates := l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
+	index, ok := l.run.forwarder.Selection.Select(candidates)
+	if !ok {
+		return
+	}
+	l.start(candidates[index], attemptFirst, false)
+	l.scheduleHedge(now)
+	for i := range candidates {
+		if i != index && candidates[i].Probe && l.mayStart() && l.run.forwarder.Repeats.Take(l.id) {
+			l.start(candidates[i], attemptProbe, true)
+		}
+	}
+}
+
+func (l *leg) scheduleHedge(now time.Time) {
+	if l.run.route.Idempotent && l.run.mayHedge && l.mayStart() {
+		l.due = now.Add(l.run.hedgeDelay)
+	}
+}
+
+// mayStart reports whether the route allows another attempt.
+func (l *leg) mayStart() bool {
+	return l.spent+l.inFlight < l.run.route.MaxAttempts && l.started < l.run.route.MaxAttempts+maxResends
+}
+
+// hedge starts a second attempt at another server if that can help.
+func (l *leg) hedge(time.Time) {
+	l.due = time.Time{}
+	if l.done || l.inFlight == 0 || !l.mayStart() {
+		return
+	}
+	candidate, ok := l.choose()
+	if !ok || candidate.Failing {
+		return
+	}
+	if !l.run.forwarder.Repeats.Take(l.id) {
+		l.starved = true
+		return
+	}
+	l.start(candidate, attemptHedge, true)
+}
+
+// ended takes the end of an attempt and decides on a retry.
+func (l *leg) ended(end attemptEnd, now time.Time) {
+	l.inFlight--
+	l.last = end.record.Result
+	if !end.record.Result.ProvesNotRun() {
+		l.spent++
+	}
+	if end.record.Result == ebonyworks.AttemptUnreachable && end.attempt.charged {
+		l.run.forwarder.Repeats.Return(l.id)
+	}
+	switch {
+	case l.done:
+		return
+	case end.record.Result == ebonyworks.AttemptServed:
+		l.run.prove()
+		l.done = true
+		l.due = time.Time{}
+		l.response = end.response
+		return
+	case end.record.Result == ebonyworks.AttemptFailed:
+		l.run.prove()
+		l.failure = &end.response
+	case end.record.Result == ebonyworks.AttemptLost:
+		l.lost = true
+	}
+	if l.inFlight == 0 {
+		l.retry(end, now)
+	}
+}
+
+// retry starts another attempt after a failed one.
+func (l *leg) retry(failed attemptEnd, now time.Time) {
+	l.due = time.Time{}
+	if !now.Before(l.run.deadline) || !l.mayStart() || !l.mayRepeat(failed.record.Result) {
+		return
+	}
+	candidate, ok := l.choose()
+	if !ok {
+		return
+	}
+	// A server that couldn't be reached saw no request, so this isn't a repeat.
+	charged := failed.record.Result != ebonyworks.AttemptUnreachable
+	if charged && !l.run.forwarder.Repeats.Take(l.id) {
+		l.starved = true
+		return
+	}
+	l.start(candidate, attemptRetry, charged)
+	l.scheduleHedge(now)
+}
+
+// mayRepeat reports whether the request may be sent again after the result. A
+// request under which a server went away may have crashed it. It is sent again
+// once a server has completed it.
+func (l *leg) mayRepeat(result ebonyworks.AttemptResult) bool {
+	if result.ProvesNotRun() {
+		return true
+	}
+	if !l.run.route.Idempotent {
+		return false
+	}
+	if result != ebonyworks.AttemptLost || l.run.proven || l.run.forwarder.Inspection == nil {
+		return true
+	}
+	verdict, _ := l.run.forwarder.Inspection.Inspect(l.run.fingerprint)
+	return verdict != ebonyworks.RunNone
+}
+
+// choose selects a server that wasn't asked yet.
+func (l *leg) choose() (ebonyworks.Candidate, bool) {
+	candidates := l.run.forwarder.Servers.Candidates(l.view, false)
+	candidates = slices.DeleteFunc(candidates, func(candidate ebonyworks.Candidate) bool {
+		return slices.Contains(l.asked, candidate.Server.ID)
+	})
+	index, ok := l.run.forwarder.Selection.Select(candidates)
+	if !ok {
+		return ebonyworks.Candidate{}, false
+	}
+	return candidates[index], true
+}
+
+func (l *leg) start(candidate ebonyworks.Candidate, kind attemptKind, charged bool) {
+	l.asked = append(l.asked, candidate.Server.ID)
+	l.started++
+	l.inFlight++
+	l.run.inFlight++
+	started := &attempt{leg: l, candidate: candidate, kind: kind, charged: charged}
+	l.run.attempts = append(l.run.attempts, started)
+	go started.do()
+}
--- /dev/null
+++ b/coordination/fanout/report.go
@@ -0,0 +1,85 @@
+package fanout
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const reasonCallerLeft = "the caller left"
+
+// Report describes a request that has ended.
+type Report struct {
+	Request  ebonyworks.RequestID
+	Route    ebonyworks.RouteID
+	Revision ebonyworks.Revision
+	Kind     ebonyworks.ReplyKind
+	// Status is that of the relayed response, or zero.
+	Status  int
+	Reason  string
+	Elapsed time.Duration
+	// Left is how much of the request's time was left.
+	Left time.Duration
+	// Shards, Parts and Attempts count what the request needed and used.
+	Shards, Parts, Attempts int
+	// Target is the target latency of the route.
+	Target time.Duration
+	// HedgeDelay is the delay in force, and MayHedge if hedges were allowed.
+	HedgeDelay time.Duration
+	MayHedge   bool
+	// Notable lists the attempts that were no plain success at the first try.
+	Notable string
+}
+
+// maxNotable bounds the attempts that a report lists.
+const maxNotable = 12
+
+func (r *run) report(reply ebonyworks.ForwardReply) Report {
+	now := time.Now()
+	report := Report{
+		Request:    r.request.ID,
+		Route:      r.route.ID,
+		Revision:   r.revision,
+		Kind:       reply.Kind,
+		Status:     reply.Response.Status,
+		Reason:     reply.Reason,
+		Elapsed:    now.Sub(r.request.Arrival),
+		Left:       r.deadline.Sub(now),
+		Shards:     len(r.legs),
+		Attempts:   len(r.attempts),
+		Target:     r.route.TargetLatency,
+		HedgeDelay: r.hedgeDelay,
+		MayHedge:   r.mayHedge,
+		Notable:    r.notable(),
+	}
+	for _, leg := range r.legs {
+		if leg.done {
+			report.Parts++
+		}
+	}
+	return report
+}
+
+// notable lists attempts as service/server kind result latency.
+func (r *run) notable() string {
+	var text strings.Builder
+	listed := 0
+	for _, attempt := range r.attempts {
+		plain := attempt.kind == attemptFirst && attempt.ended && attempt.result == ebonyworks.AttemptServed
+		if plain && len(r.legs) > 1 {
+			continue
+		}
+		if listed++; listed > maxNotable {
+			text.WriteString(" ...")
+			break
+		}
+		outcome := "pending"
+		if attempt.ended {
+			outcome = attempt.result.String()
+		}
+		fmt.Fprintf(&text, "%s/%s %s %s %dms; ", attempt.leg.id, attempt.candidate.Server.ID, attempt.kind, outcome, attempt.latency.Milliseconds())
+	}
+	return strings.TrimSuffix(text.String(), "; ")
+}
--- /dev/null
+++ b/coordination/fanout/run.go
@@ -0,0 +1,287 @@
+package fanout
+
+import (
+	"context"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/merging"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+)
+
+const (
+	// lingerTime is how long attempts that are no longer needed may go on
+	// before their connections are closed. Opening a connection costs a server
+	// about as much as the rest of a usual attempt, and pauses of servers end
+	// within this time.
+	lingerTime = 150 * time.Millisecond
+	// refusedRetryAfter is when servers that shed load have usually worked off
+	// their queues.
+	refusedRetryAfter = 100 * time.Millisecond
+	// blockedRetryAfter is the advice for requests that crash servers.
+	blockedRetryAfter = 5 * time.Second
+)
+
+// run is one request. Its state belongs to the goroutine of do; attempts report
+// through ends.
+type run struct {
+	forwarder   *Forwarder
+	request     *ebonyworks.ForwardRequest
+	route       *routing.Route
+	revision    ebonyworks.Revision
+	fingerprint ebonyworks.Fingerprint
+	seal        sealing
+	deadline    time.Time
+	legs        []*leg
+	// ends has room for all attempts.
+	ends chan attemptEnd
+	// waiting ends with the run: attempts that haven't been sent are dropped.
+	waiting    context.Context
+	stopWait   context.CancelFunc
+	sending    context.Context
+	stopSend   context.CancelFunc
+	attempts   []*attempt
+	inFlight   int
+	proven     bool
+	hedgeDelay time.Duration
+	mayHedge   bool
+}
+
+func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision) *run {
+	needed := services(route)
+	r := &run{
+		forwarder: f,
+		request:   request,
+		route:     route,
+		revision:  revision,
+		ends:      make(chan attemptEnd, len(needed)*(route.MaxAttempts+maxResends)),
+		deadline:  request.Arrival.Add(patience(request, route)),
+	}
+	if f.Inspection != nil {
+		r.fingerprint = fingerprint(request)
+	}
+	r.seal = sealing{
+		total:  len(needed),
+		needed: route.MinParts(),
+		target: request.Arrival.Add(route.TargetLatency),
+		early:  request.Arrival.Add(time.Duration(sealPart * float64(route.TargetLatency))),
+	}
+	r.legs = make([]*leg, len(needed))
+	for i, service := range needed {
+		r.legs[i] = &leg{run: r, id: service, view: f.Directory.Service(service)}
+	}
+	return r
+}
+
+// patience returns how long the request may take: no longer than the caller
+// waits and the route allows.
+func patience(request *ebonyworks.ForwardRequest, route *routing.Route) time.Duration {
+	if request.Patience <= 0 {
+		return route.Timeout
+	}
+	return min(request.Patience, route.Timeout)
+}
+
+// do runs the request until a reply is certain. Attempts that are still in
+// flight then have lingerTime to end.
+func (r *run) do(ctx context.Context) ebonyworks.ForwardReply {
+	if reply, refused := r.inspect(); refused {
+		return reply
+	}
+	r.waiting, r.stopWait = context.WithDeadline(context.WithoutCancel(ctx), r.deadline)
+	r.sending, r.stopSend = context.WithCancel(context.WithoutCancel(ctx))
+	defer r.release()
+	now := time.Now()
+	r.hedgeDelay, r.mayHedge = r.forwarder.Delays.Delay(r.route.ID, r.route.TargetLatency)
+	for _, leg := range r.legs {
+		r.forwarder.Repeats.Count(leg.id)
+		leg.startFirst(now)
+	}
+	timer := time.NewTimer(r.untilNext(time.Now()))
+	defer timer.Stop()
+	for {
+		if reply, ok := r.settle(time.Now()); ok {
+			return reply
+		}
+		timer.Reset(r.untilNext(time.Now()))
+		select {
+		case end := <-r.ends:
+			r.ended(end)
+			r.drain()
+		case <-timer.C:
+			r.hedge(time.Now())
+		case <-ctx.Done():
+			return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: reasonCallerLeft}
+		}
+	}
+}
+
+// inspect refuses requests under which servers went away.
+func (r *run) inspect() (ebonyworks.ForwardReply, bool) {
+	if r.forwarder.Inspection == nil {
+		return ebonyworks.ForwardReply{}, false
+	}
+	verdict, refusal := r.forwarder.Inspection.Inspect(r.fingerprint)
+	if verdict != ebonyworks.RunNone {
+		return ebonyworks.ForwardReply{}, false
+	}
+	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: refusal.Message, RetryAfter: blockedRetryAfter}, true
+}
+
+// release ends the attempts that haven't been sent, and the others after
+// lingerTime.
+func (r *run) release() {
+	r.stopWait()
+	if r.inFlight == 0 {
+		r.stopSend()
+		return
+	}
+	time.AfterFunc(lingerTime, r.stopSend)
+}
+
+// drain takes the ends that are in already, so that one wake-up handles all.
+func (r *run) drain() {
+	for {
+		select {
+		case end := <-r.ends:
+			r.ended(end)
+		default:
+			return
+		}
+	}
+}
+
+func (r *run) ended(end attemptEnd) {
+	r.inFlight--
+	end.attempt.ended = true
+	end.attempt.result = end.record.Result
+	end.attempt.latency = end.record.Latency
+	end.attempt.leg.ended(end, time.Now())
+}
+
+// prove records that a server completed the request.
+func (r *run) prove() {
+	if r.proven || r.forwarder.Inspection == nil {
+		return
+	}
+	r.proven = true
+	r.forwarder.Inspection.Survived(r.fingerprint)
+}
+
+// untilNext returns the time until something has to be decided.
+func (r *run) untilNext(now time.Time) time.Duration {
+	next := r.deadline
+	if r.route.Scattered() {
+		next = earliest(next, r.seal.next(now))
+	}
+	for _, leg := range r.legs {
+		if !leg.due.IsZero() {
+			next = earliest(next, leg.due)
+		}
+	}
+	return max(next.Sub(now), 0)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// hedge starts second attempts at the legs whose delay has passed.
+func (r *run) hedge(now time.Time) {
+	for _, leg := range r.legs {
+		if !leg.due.IsZero() && !now.Before(leg.due) {
+			leg.hedge(now)
+		}
+	}
+}
+
+// settle returns the reply once it is certain.
+func (r *run) settle(now time.Time) (ebonyworks.ForwardReply, bool) {
+	if !r.route.Scattered() {
+		return r.settleSingle(now)
+	}
+	done, open := 0, 0
+	for _, leg := range r.legs {
+		switch {
+		case leg.done:
+			done++
+		case leg.open():
+			open++
+		}
+	}
+	switch r.seal.decide(done, open, now) {
+	case sealNow:
+		return r.merged(), true
+	case sealHopeless:
+		return r.unanswered(now), true
+	}
+	if !now.Before(r.deadline) {
+		return r.unanswered(now), true
+	}
+	return ebonyworks.ForwardReply{}, false
+}
+
+func (r *run) settleSingle(now time.Time) (ebonyworks.ForwardReply, bool) {
+	only := r.legs[0]
+	if only.done {
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRelayed, Response: only.response}, true
+	}
+	if only.open() && now.Before(r.deadline) {
+		return ebonyworks.ForwardReply{}, false
+	}
+	if only.failure != nil {
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRelayed, Response: *only.failure}, true
+	}
+	return r.unanswered(now), true
+}
+
+func (r *run) merged() ebonyworks.ForwardReply {
+	reply := ebonyworks.ForwardReply{Kind: ebonyworks.ReplyMerged}
+	parts := make([][]byte, 0, len(r.legs))
+	for _, leg := range r.legs {
+		if !leg.done {
+			reply.Missing++
+			continue
+		}
+		parts = append(parts, leg.response.Body)
+		reply.Signatures = append(reply.Signatures, leg.response.Signature)
+	}
+	reply.Records = merging.Greatest(parts, r.route.TopRecords)
+	return reply
+}
+
+// unanswered is the reply when no answer can be had any more. It says that the
+// request didn't run only if no server can have started it.
+func (r *run) unanswered(now time.Time) ebonyworks.ForwardReply {
+	if r.abandonUnsent() {
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: refusedRetryAfter}
+	}
+	if !now.Before(r.deadline) {
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyTimeout, Reason: r.reason()}
+	}
+	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: r.reason()}
+}
+
+// abandonUnsent keeps attempts that wait for a permit from being sent, and
+// reports whether the request can't have run anywhere.
+func (r *run) abandonUnsent() bool {
+	for _, attempt := range r.attempts {
+		if !attempt.provenNotRun() {
+			return false
+		}
+	}
+	return true
+}
+
+// reason returns the reason of the first leg without a response.
+func (r *run) reason() string {
+	for _, leg := range r.legs {
+		if !leg.done {
+			return leg.reason()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/coordination/fanout/seal.go
@@ -0,0 +1,63 @@
+package fanout
+
+import "time"
+
+const (
+	// sealPart is the part of the target latency after which an answer without
+	// the slowest shards is worth more than a late one. The rest is the way
+	// from and to the caller.
+	sealPart = 0.78
+	// lateGrace is how long an answer that is late already waits for its last
+	// shards. Pauses of servers end within this time.
+	lateGrace = 150 * time.Millisecond
+)
+
+type sealDecision int
+
+const (
+	sealLater sealDecision = iota
+	sealNow
+	sealHopeless
+)
+
+// sealing decides when the answer of a scattered request is made of the parts
+// that are in. It answers the load in which single servers pause or fail while
+// the others are fast.
+type sealing struct {
+	// total is the number of shards, and needed how many of them an answer
+	// covers at least.
+	total, needed int
+	// early is when an answer has to be sent to arrive in time, and target the
+	// end of the target latency.
+	early, target time.Time
+}
+
+// decide takes the number of parts that are in and of shards that may still
+// respond.
+func (s sealing) decide(done, open int, now time.Time) sealDecision {
+	switch {
+	case done+open < s.needed:
+		return sealHopeless
+	case done == s.total, open == 0:
+		return sealNow
+	case done < s.needed:
+		return sealLater
+	case !now.Before(s.early) && now.Before(s.target):
+		return sealNow
+	case !now.Before(s.target.Add(lateGrace)):
+		return sealNow
+	default:
+		return sealLater
+	}
+}
+
+// next returns the next time at which the decision can change by itself, or a
+// time far away.
+func (s sealing) next(now time.Time) time.Time {
+	for _, at := range []time.Time{s.early, s.target.Add(lateGrace)} {
+		if now.Before(at) {
+			return at
+		}
+	}
+	return now.Add(time.Hour)
+}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -35,6 +35,8 @@
 	mutex sync.RWMutex
 	// hosts is the number of hosts that share the servers, zero means one.
 	hosts int
+	// exclusive is set if each attempt needs a connection of its own.
+	exclusive bool
 	// servers has at most MaxServers entries.
 	servers map[ebonyworks.ServerID]*server
 }
@@ -44,6 +46,13 @@
 	return &Table{hosts: hosts}
 }
 
+// NewExclusive returns a table for a fleet whose attempts each need a
+// connection of their own. A server gets at most this host's share of the
+// connections that it accepts.
+func NewExclusive(hosts int) *Table {
+	return &Table{hosts: hosts, exclusive: true}
+}
+
 // SetHosts changes the number of hosts. It sets the start of servers that
 // have not been used; the others have adapted by themselves.
 func (t *Table) SetHosts(hosts int) {
@@ -55,18 +64,28 @@
 // Retain drops the state of servers that the configuration no longer names.
 // Attempts in flight at them end as usual.
 func (t *Table) Retain(configuration *ebonyworks.Configuration) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	retained := make(map[ebonyworks.ServerID]*server, len(t.servers))
+	named := make(map[ebonyworks.ServerID]bool)
 	for i := range configuration.Catalogues {
 		for j := range configuration.Catalogues[i].Services {
-			for _, named := range configuration.Catalogues[i].Services[j].Servers {
-				if known := t.servers[named.ID]; known != nil {
-					retained[named.ID] = known
-				}
+			for _, server := range configuration.Catalogues[i].Services[j].Servers {
+				named[server.ID] = true
 			}
 		}
 	}
+	t.RetainServers(named)
+}
+
+// RetainServers drops the state of servers that aren't named. Attempts in
+// flight at them end as usual.
+func (t *Table) RetainServers(named map[ebonyworks.ServerID]bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	retained := make(map[ebonyworks.ServerID]*server, len(t.servers))
+	for id, known := range t.servers {
+		if named[id] {
+			retained[id] = known
+		}
+	}
 	t.servers = retained
 }
 
@@ -100,7 +119,7 @@
 	hosts := t.hosts
 	t.mutex.RUnlock()
 	if known == nil {
-		start, _ := bounds(service, hosts)
+		start, _ := t.bounds(service, hosts)
 		return 0, int(start)
 	}
 	return known.load()
@@ -109,9 +128,11 @@
 func (t *Table) open(service *ebonyworks.Service, id ebonyworks.ServerID) *server {
 	t.mutex.RLock()
 	known := t.servers[id]
+	hosts := t.hosts
 	t.mutex.RUnlock()
 	if known != nil {
-		known.setSlots(service)
+		start, largest := t.bounds(service, hosts)
+		known.setBounds(service, start, largest)
 		return known
 	}
 	t.mutex.Lock()
@@ -120,24 +141,30 @@
 		t.servers = make(map[ebonyworks.ServerID]*server)
 	}
 	if t.servers[id] == nil && len(t.servers) < MaxServers {
-		t.servers[id] = newServer(service, t.hosts)
+		start, largest := t.bounds(service, t.hosts)
+		t.servers[id] = newServer(service, start, largest)
 	}
 	return t.servers[id]
 }
 
 // bounds returns the first and the largest limit for a server of the service.
-func bounds(service *ebonyworks.Service, hosts int) (start, largest float64) {
+func (t *Table) bounds(service *ebonyworks.Service, hosts int) (start, largest float64) {
 	hosts = max(hosts, 1)
 	start = float64(max(1, (service.Slots+hosts-1)/hosts) + queueAllowance)
-	return start, max(start, float64(slotsFactor*service.Slots))
+	largest = max(start, float64(slotsFactor*service.Slots))
+	if t.exclusive && service.ConnectionCap > 0 {
+		share := float64(max(1, service.ConnectionCap/hosts))
+		return min(start, share), min(largest, share)
+	}
+	return start, largest
 }
 
 // server is the quota of one server.
 type server struct {
 	mutex sync.Mutex
 	limit gradient.Limit
-	// slots is that of the service when the limit's bounds were set.
-	slots int
+	// slots and cap are those of the service when the limit's bounds were set.
+	slots, cap int
 	// inFlight counts permits that were granted and not returned.
 	inFlight int
 	// waiters is a heap with at most MaxWaiters entries. It is empty whenever
@@ -147,23 +174,26 @@
 	arrivals uint64
 }
 
-func newServer(service *ebonyworks.Service, hosts int) *server {
-	start, largest := bounds(service, hosts)
+func newServer(service *ebonyworks.Service, start, largest float64) *server {
 	return &server{
 		limit: gradient.Limit{Start: start, Min: 1, Max: largest},
 		slots: service.Slots,
+		cap:   service.ConnectionCap,
 	}
 }
 
-// setSlots follows a configuration that changes the slots of the service.
-func (s *server) setSlots(service *ebonyworks.Service) {
+// setBounds follows a configuration that changes the slots or the connections
+// of the service.
+func (s *server) setBounds(service *ebonyworks.Service, start, largest float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.slots == service.Slots {
+	if s.slots == service.Slots && s.cap == service.ConnectionCap {
 		return
 	}
 	s.slots = service.Slots
-	s.limit.Max = max(1+queueAllowance, float64(slotsFactor*service.Slots))
+	s.cap = service.ConnectionCap
+	s.limit.Start = start
+	s.limit.Max = largest
 	s.grant()
 }
 
--- /dev/null
+++ b/coordination/registry/follower.go
@@ -0,0 +1,277 @@
+// Package registry follows the platform's store: the configuration in force
+// and the servers that registered themselves.
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
+	"github.com/ebonyworks/ebonyworks/event"
+	"github.com/ebonyworks/ebonyworks/state/directory"
+)
+
+const (
+	// ReturnTime is how long after the return of the store servers are kept
+	// whose entries are missing: live servers register again within 2 s.
+	ReturnTime = 2200 * time.Millisecond
+	// gatherTime is the pause between two watches. Changes come in bursts, and
+	// each call of the store is paid for.
+	gatherTime = 150 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed call, before
+	// jitter. The longest one is a fraction of the 3 s in which changes have
+	// to be in force.
+	firstBackoff = 150 * time.Millisecond
+	maxBackoff   = time.Second
+)
+
+// Follower keeps the directory and the routes up to date with the store. Its
+// fields are set before Run.
+type Follower struct {
+	Store     ebonyworks.StoreReader
+	Directory *directory.Directory
+	// Recorder takes events; nil discards them.
+	Recorder ebonyworks.Recorder
+	// Random spreads the calls of hosts. It must not be shared.
+	Random *rand.Rand
+	// Changed is called after each change of the configuration or the servers.
+	// It must not block. Nil is allowed.
+	Changed func()
+	// Departed is called for each registration that changed. Nil is allowed.
+	Departed func(change directory.Change)
+
+	mutex sync.RWMutex
+	table *routing.Table
+	// available is set while the last call of the store succeeded.
+	available bool
+	// returned is when the store answered again after an outage; zero if there
+	// was none.
+	returned time.Time
+	outage   time.Time
+}
+
+// Table returns the routes in force, or nil if none are known.
+func (f *Follower) Table() *routing.Table {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	return f.table
+}
+
+// Ready reports whether routes and servers are known.
+func (f *Follower) Ready() bool { return f.Table() != nil && f.Directory.Loaded() }
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		listing, ok := f.list(ctx)
+		if !ok {
+			return
+		}
+		f.follow(ctx, listing.AsOf)
+	}
+}
+
+// list reads everything, however often that has to be tried.
+func (f *Follower) list(ctx context.Context) (ebonyworks.StoreListing, bool) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		listing, err := f.Store.List(ctx)
+		if err == nil {
+			f.succeeded()
+			f.applyListing(listing)
+			return listing, true
+		}
+		f.failed(ctx, err)
+		f.pause(ctx, failures)
+	}
+	return ebonyworks.StoreListing{}, false
+}
+
+// follow watches for changes until the history is gone or the context ends.
+func (f *Follower) follow(ctx context.Context, after ebonyworks.StoreRevision) {
+	failures := 0
+	for ctx.Err() == nil {
+		changes, next, err := f.Store.Watch(ctx, after)
+		if err != nil {
+			if isHistoryGone(err) {
+				f.record(event.StoreHistoryGone, event.Attribute("After", formatRevision(after)))
+				return
+			}
+			f.failed(ctx, err)
+			f.pause(ctx, failures)
+			failures++
+			continue
+		}
+		failures = 0
+		f.succeeded()
+		after = max(after, next)
+		f.apply(changes)
+		f.expire()
+		wakeup.Wait(ctx, f.spread(gatherTime), nil)
+	}
+}
+
+func (f *Follower) applyListing(listing ebonyworks.StoreListing) {
+	listed := make(map[ebonyworks.ServerID]bool, len(listing.Changes))
+	for _, change := range listing.Changes {
+		if change.Registration != nil {
+			listed[change.Registration.Server.ID] = true
+		}
+	}
+	changes := f.Directory.Missing(listed, listing.AsOf, f.keepUntil())
+	f.apply(listing.Changes)
+	f.departed(changes)
+	f.changed()
+}
+
+func (f *Follower) apply(changes []ebonyworks.StoreChange) {
+	for _, change := range changes {
+		switch {
+		case change.Configuration != nil:
+			f.accept(change.Configuration, change.Revision)
+		case change.Registration != nil:
+			if applied, ok := f.Directory.Put(*change.Registration, change.Revision); ok {
+				f.departed([]directory.Change{applied})
+			}
+		case change.Removed != "":
+			if applied, ok := f.Directory.Remove(change.Removed, change.Revision, f.keepUntil()); ok {
+				f.departed([]directory.Change{applied})
+			}
+		}
+	}
+	if len(changes) > 0 {
+		f.changed()
+	}
+}
+
+// accept puts a configuration in force unless it is older than the one that
+// is. A host never goes back.
+func (f *Follower) accept(configuration *ebonyworks.ForwardConfiguration, revision ebonyworks.StoreRevision) {
+	f.mutex.Lock()
+	if f.table != nil && configuration.Revision <= f.table.Configuration().Revision {
+		f.mutex.Unlock()
+		return
+	}
+	table := routing.New(configuration)
+	table.Inherit(f.table)
+	f.table = table
+	f.mutex.Unlock()
+	f.Directory.SetServices(configuration.Services)
+	f.record(event.RoutesAccepted,
+		event.Attribute("Revision", strconv.FormatUint(uint64(configuration.Revision), 10)),
+		event.Attribute("StoreRevision", formatRevision(revision)),
+		event.Attribute("Routes", strconv.Itoa(len(configuration.Routes))))
+}
+
+// Tick drops the servers whose entries didn't come back after an outage.
+func (f *Follower) Tick() { f.expire() }
+
+func (f *Follower) expire() {
+	changes := f.Directory.Expire()
+	f.departed(changes)
+	if len(changes) > 0 {
+		f.changed()
+	}
+}
+
+// keepUntil returns until when a server is kept whose entry is missing. Entries
+// that lapsed while the store was away say nothing about their servers until
+// these had the time to register again.
+func (f *Follower) keepUntil() time.Time {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	if f.returned.IsZero() {
+		return time.Time{}
+	}
+	return f.returned.Add(ReturnTime)
+}
+
+func (f *Follower) succeeded() {
+	f.mutex.Lock()
+	back := !f.available && !f.outage.IsZero()
+	first := !f.available && f.outage.IsZero()
+	f.available = true
+	var away time.Duration
+	if back {
+		f.returned = time.Now()
+		away = time.Since(f.outage)
+		f.outage = time.Time{}
+	}
+	f.mutex.Unlock()
+	if back {
+		f.record(event.StoreReturned, event.Attribute("Away", away.String()))
+	}
+	if first {
+		f.record(event.StoreReached)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mutex.Lock()
+	lost := f.outage.IsZero()
+	if lost {
+		f.outage = time.Now()
+	}
+	f.available = false
+	f.mutex.Unlock()
+	if lost {
+		f.record(event.StoreLost, event.Attribute("Error", err.Error()))
+	}
+}
+
+func (f *Follower) departed(changes []directory.Change) {
+	for _, change := range changes {
+		if f.Departed != nil {
+			f.Departed(change)
+		}
+		f.record(event.RegistrationChanged,
+			event.Attribute("Server", string(change.Registration.Server.ID)),
+			event.Attribute("Service", string(change.Registration.Service)),
+			event.Attribute("Address", change.Registration.Server.Address.String()),
+			event.Attribute("Usable", strconv.FormatBool(change.Usable)),
+			event.Attribute("New", strconv.FormatBool(change.New)))
+	}
+}
+
+func (f *Follower) changed() {
+	if f.Changed != nil {
+		f.Changed()
+	}
+}
+
+func (f *Follower) record(id ebonyworks.EventID, attributes ...ebonyworks.Attribute) {
+	if f.Recorder != nil {
+		f.Recorder.Record(event.New(id, attributes...))
+	}
+}
+
+// pause waits after a failed call, longer after each further one.
+func (f *Follower) pause(ctx context.Context, failures int) {
+	wakeup.Wait(ctx, f.spread(min(firstBackoff<<min(failures, 8), maxBackoff)), nil)
+}
+
+// spread returns a duration between three and five quarters of the given one.
+func (f *Follower) spread(duration time.Duration) time.Duration {
+	if f.Random == nil {
+		return duration
+	}
+	return time.Duration(float64(duration) * (0.75 + f.Random.Float64()/2))
+}
+
+func isHistoryGone(err error) bool {
+	var failure *ebonyworks.StoreError
+	return errors.As(err, &failure) && failure.Fault == ebonyworks.StoreHistoryGone
+}
+
+func formatRevision(revision ebonyworks.StoreRevision) string {
+	return strconv.FormatUint(uint64(revision), 10)
+}
--- a/event/configuration.go
+++ b/event/configuration.go
@@ -24,6 +24,20 @@
 	ConfigurationServiceStale ebonyworks.EventID = 4009
 	// ConfigurationServiceAvailable is recorded when the configuration service answers again.
 	ConfigurationServiceAvailable ebonyworks.EventID = 4010
+	// RoutesAccepted is recorded when a configuration of forwarded routes is in force.
+	RoutesAccepted ebonyworks.EventID = 4101
+	// StoreReached is recorded when the platform's store answers for the first time.
+	StoreReached ebonyworks.EventID = 4102
+	// StoreLost is recorded when calls of the platform's store begin to fail.
+	StoreLost ebonyworks.EventID = 4103
+	// StoreReturned is recorded when the platform's store answers again.
+	StoreReturned ebonyworks.EventID = 4104
+	// StoreHistoryGone is recorded when changes were missed and everything is read again.
+	StoreHistoryGone ebonyworks.EventID = 4105
+	// StoreItemInvalid is recorded when an item of the store can't be used.
+	StoreItemInvalid ebonyworks.EventID = 4106
+	// RegistrationChanged is recorded when the registration of a backend server changes.
+	RegistrationChanged ebonyworks.EventID = 4107
 )
 
 var configurationEntries = []Entry{
@@ -37,4 +51,11 @@
 	{ID: ConfigurationServiceUnavailable, Level: Warning, Message: "configuration service unavailable", Action: "Check the service; the configuration in force stays."},
 	{ID: ConfigurationServiceStale, Level: Warning, Message: "configuration service answers with an older configuration", Action: "Check the replicas of the service; the configuration in force stays."},
 	{ID: ConfigurationServiceAvailable, Level: Info, Message: "configuration service answers again", Action: "None."},
+	{ID: RoutesAccepted, Level: Info, Message: "routes are in force", Action: "None."},
+	{ID: StoreReached, Level: Info, Message: "store answers", Action: "None."},
+	{ID: StoreLost, Level: Warning, Message: "store unavailable", Action: "Check the store and the link to it; routes and servers stay as last known."},
+	{ID: StoreReturned, Level: Info, Message: "store answers again", Action: "None."},
+	{ID: StoreHistoryGone, Level: Info, Message: "store dropped its history; everything is read again", Action: "None."},
+	{ID: StoreItemInvalid, Level: Warning, Message: "item of the store can't be used", Action: "Find the writer of the item; it names no server until it is valid."},
+	{ID: RegistrationChanged, Level: Info, Message: "registration of a backend server changed", Action: "None."},
 }
--- a/event/process.go
+++ b/event/process.go
@@ -17,6 +17,12 @@
 	ProcessStopping ebonyworks.EventID = 1005
 	// ProcessStopped is recorded when a planned stop has ended.
 	ProcessStopped ebonyworks.EventID = 1006
+	// AcceptFailed is recorded when a listener or a connection to it fails.
+	AcceptFailed ebonyworks.EventID = 1007
+	// ConnectionFailed is recorded when a connection of a caller fails.
+	ConnectionFailed ebonyworks.EventID = 1008
+	// StopIncomplete is recorded when a planned stop ended requests in flight.
+	StopIncomplete ebonyworks.EventID = 1009
 	// RecordingStarted is recorded when requests are being recorded to a file.
 	RecordingStarted ebonyworks.EventID = 1101
 	// RecordingIncomplete is recorded at the end of a recording that left out
@@ -31,6 +37,9 @@
 	{ID: SettingsNeedRestart, Level: Warning, Message: "changed settings need a restart", Action: "Restart the host to apply the named fields."},
 	{ID: ProcessStopping, Level: Info, Message: "process is stopping", Action: "None."},
 	{ID: ProcessStopped, Level: Info, Message: "process stopped", Action: "None."},
+	{ID: AcceptFailed, Level: Warning, Message: "listener failed", Action: "Check the descriptors and the address of the process."},
+	{ID: ConnectionFailed, Level: Info, Message: "connection of a caller failed", Action: "None, unless it is frequent."},
+	{ID: StopIncomplete, Level: Warning, Message: "planned stop ended requests in flight", Action: "Allow more time between the signals, or shorter route time-outs."},
 	{ID: RecordingStarted, Level: Warning, Message: "requests are being recorded", Action: "Expected only for trials: the file holds keys and rows."},
 	{ID: RecordingIncomplete, Level: Warning, Message: "recording is incomplete", Action: "Record a shorter time or a lower rate, or check the space for the file."},
 }
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,224 @@
+// Package gateway assembles a host that forwards opaque requests. It reaches
+// the outside through the interfaces of the root package only.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
+	"github.com/ebonyworks/ebonyworks/coordination/delay"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/quota"
+	"github.com/ebonyworks/ebonyworks/coordination/registry"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/state/directory"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+const (
+	// assumedHosts is the number of hosts that share connections and repeats
+	// while it isn't known: 8 and half as many that replace them.
+	assumedHosts = 12
+	// tidyInterval is the time between two looks at kept connections and at
+	// servers whose entries didn't come back.
+	tidyInterval = 500 * time.Millisecond
+)
+
+// ConnectionKeeper is a backend that keeps connections.
+type ConnectionKeeper interface {
+	// Retain closes the connections to addresses that aren't named.
+	Retain(named map[netip.AddrPort]bool)
+}
+
+// Options are what a gateway needs. Recorder, Observer and Connections may be
+// nil.
+type Options struct {
+	Domain      ebonyworks.DomainID
+	Store       ebonyworks.StoreReader
+	Backend     ebonyworks.ForwardBackend
+	Connections ConnectionKeeper
+	// Repeats bounds the repeats of all hosts together.
+	Repeats  allowance.Bound
+	Recorder ebonyworks.Recorder
+	Observer fanout.Observer
+	// Seed makes the random choices reproducible.
+	Seed uint64
+}
+
+// Gateway is a host that forwards opaque requests. Use New, then Run.
+type Gateway struct {
+	options   Options
+	follower  *registry.Follower
+	directory *directory.Directory
+	register  *register.Register
+	quota     *quota.Table
+	repeats   *allowance.Ledger
+	delays    *delay.Estimator
+	forwarder *fanout.Forwarder
+
+	mutex    sync.Mutex
+	stopping bool
+}
+
+var _ ebonyworks.Forwarder = (*Gateway)(nil)
+
+// Streams separate the random choices of the parts.
+const (
+	registerStream = iota + 1
+	selectionStream
+	storeStream
+)
+
+// New assembles a gateway.
+func New(options Options) *Gateway {
+	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
+	g := &Gateway{
+		options:   options,
+		directory: &directory.Directory{},
+		register:  &register.Register{Random: random(registerStream), Recorder: options.Recorder, ProbeByRequest: true},
+		quota:     quota.NewExclusive(assumedHosts),
+		repeats:   allowance.New(options.Repeats, assumedHosts),
+		delays:    &delay.Estimator{},
+	}
+	g.follower = &registry.Follower{
+		Store:     options.Store,
+		Directory: g.directory,
+		Recorder:  options.Recorder,
+		Random:    random(storeStream),
+		Changed:   g.retain,
+		Departed:  g.departed,
+	}
+	g.forwarder = &fanout.Forwarder{
+		Table:      g.follower.Table,
+		Directory:  g.directory,
+		Servers:    servers{g},
+		Selection:  selection.New(random(selectionStream)),
+		Quota:      g.quota,
+		Repeats:    g.repeats,
+		Delays:     g.delays,
+		Backend:    options.Backend,
+		Inspection: &inspection.Inspector{Recorder: options.Recorder},
+		Observer:   options.Observer,
+	}
+	return g
+}
+
+// Run follows the store until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.follower.Run(ctx)
+	}()
+	ticker := time.NewTicker(tidyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			<-done
+			return
+		case <-ticker.C:
+			g.follower.Tick()
+			g.retainConnections()
+		}
+	}
+}
+
+// Forward answers an opaque request.
+func (g *Gateway) Forward(ctx context.Context, request *ebonyworks.ForwardRequest) ebonyworks.ForwardReply {
+	return g.forwarder.Forward(ctx, request)
+}
+
+// Limits returns the callers' limits in force.
+func (g *Gateway) Limits() ebonyworks.CallerLimits {
+	table := g.follower.Table()
+	if table == nil {
+		return ebonyworks.CallerLimits{}
+	}
+	return table.Configuration().Limits
+}
+
+// Ready reports whether the host takes requests: it knows routes and servers,
+// and isn't about to stop.
+func (g *Gateway) Ready() bool { return !g.Stopping() && g.follower.Ready() }
+
+// BeginStop makes the host not ready. Requests that arrive are still answered.
+func (g *Gateway) BeginStop() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.stopping = true
+}
+
+// Stopping reports whether a planned stop has begun.
+func (g *Gateway) Stopping() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.stopping
+}
+
+// departed passes the life and the departure of a server on to the register.
+func (g *Gateway) departed(change directory.Change) {
+	g.register.Depart(ebonyworks.Departure{
+		Server:      change.Registration.Server.ID,
+		Incarnation: change.Registration.Incarnation,
+		Leaving:     !change.Usable,
+	})
+}
+
+// retain drops the state of what is no longer known.
+func (g *Gateway) retain() {
+	named := g.directory.Servers()
+	g.register.RetainServers(named)
+	g.quota.RetainServers(named)
+	if table := g.follower.Table(); table != nil {
+		g.retainRoutes(table)
+	}
+	g.retainConnections()
+}
+
+func (g *Gateway) retainRoutes(table *routing.Table) {
+	routes := make(map[ebonyworks.RouteID]bool)
+	services := make(map[ebonyworks.ServiceID]bool)
+	for i := range table.Configuration().Routes {
+		route := &table.Configuration().Routes[i]
+		routes[route.ID] = true
+		for _, shard := range route.Shards {
+			services[shard] = true
+		}
+		for _, backend := range route.Backends {
+			services[backend.Service] = true
+		}
+	}
+	g.delays.Retain(routes)
+	g.repeats.Retain(services)
+}
+
+func (g *Gateway) retainConnections() {
+	if g.options.Connections != nil {
+		g.options.Connections.Retain(g.directory.Addresses())
+	}
+}
+
+// servers lists the candidates of attempts.
+type servers struct {
+	gateway *Gateway
+}
+
+// Candidates returns the servers that may get an attempt.
+func (s servers) Candidates(service *ebonyworks.Service, idempotent bool) []ebonyworks.Candidate {
+	route := ebonyworks.Route{Kind: ebonyworks.ReservationRoute}
+	if idempotent {
+		route.Kind = ebonyworks.SearchRoute
+	}
+	return s.gateway.register.Candidates(service, route, s.gateway.options.Domain, s.gateway.quota)
+}
+
+// Observe learns from an ended attempt.
+func (s servers) Observe(record ebonyworks.AttemptRecord) { s.gateway.register.Observe(record) }
--- /dev/null
+++ b/gateway/observer.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+// Metrics counts requests and attempts.
+type Metrics interface {
+	// AttemptEnded counts an attempt.
+	AttemptEnded(record ebonyworks.AttemptRecord)
+	// ForwardEnded counts a request.
+	ForwardEnded(route ebonyworks.RouteID, kind ebonyworks.ReplyKind, missing int, elapsed time.Duration)
+}
+
+// Observer logs and counts what a gateway did. Use NewObserver.
+type Observer struct {
+	recorder ebonyworks.Recorder
+	metrics  Metrics
+}
+
+var _ fanout.Observer = (*Observer)(nil)
+
+// NewObserver returns an observer that writes to both.
+func NewObserver(recorder ebonyworks.Recorder, metrics Metrics) *Observer {
+	return &Observer{recorder: recorder, metrics: metrics}
+}
+
+// AttemptEnded counts an attempt.
+func (o *Observer) AttemptEnded(record ebonyworks.AttemptRecord) { o.metrics.AttemptEnded(record) }
+
+// Forwarded logs and counts a request.
+func (o *Observer) Forwarded(report fanout.Report) {
+	missing := report.Shards - report.Parts
+	o.metrics.ForwardEnded(report.Route, report.Kind, missing, report.Elapsed)
+	attributes := []ebonyworks.Attribute{
+		event.Attribute("Request", string(report.Request)),
+		event.Attribute("Route", string(report.Route)),
+		event.Attribute("Revision", strconv.FormatUint(uint64(report.Revision), 10)),
+		event.Attribute("Outcome", report.Kind.String()),
+		event.Attribute("ElapsedMs", milliseconds(report.Elapsed)),
+		event.Attribute("LeftMs", milliseconds(report.Left)),
+		event.Attribute("TargetMs", milliseconds(report.Target)),
+		event.Attribute("Parts", strconv.Itoa(report.Parts)+"/"+strconv.Itoa(report.Shards)),
+		event.Attribute("Attempts", strconv.Itoa(report.Attempts)),
+		event.Attribute("HedgeDelayMs", milliseconds(report.HedgeDelay)),
+	}
+	if !report.MayHedge {
+		attributes = append(attributes, event.Attribute("Hedging", "paused: overload"))
+	}
+	if report.Status != 0 {
+		attributes = append(attributes, event.Attribute("Status", strconv.Itoa(report.Status)))
+	}
+	if report.Reason != "" {
+		attributes = append(attributes, event.Attribute("Reason", report.Reason))
+	}
+	if report.Notable != "" {
+		attributes = append(attributes, event.Attribute("Tries", report.Notable))
+	}
+	o.recorder.Record(event.New(kindOf(report, missing), attributes...))
+}
+
+func kindOf(report fanout.Report, missing int) ebonyworks.EventID {
+	switch {
+	case report.Kind != ebonyworks.ReplyMerged && report.Kind != ebonyworks.ReplyRelayed:
+		return event.RequestUnanswered
+	case missing > 0:
+		return event.RequestIncomplete
+	default:
+		return event.RequestForwarded
+	}
+}
+
+func milliseconds(duration time.Duration) string {
+	return strconv.FormatFloat(float64(duration.Microseconds())/1000, 'f', 1, 64)
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+const (
+	// noticeTime is how long the host serves after it is no longer ready: the
+	// load balancer asks once a second and needs two misses.
+	noticeTime = 2300 * time.Millisecond
+	// exitMargin is the time before the end of the grace period at which
+	// requests in flight are given up.
+	exitMargin = 500 * time.Millisecond
+	// minDrainTime is what requests in flight get at least.
+	minDrainTime = time.Second
+	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
+	// names limits.
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+	// limitInterval is how often the limits are compared to those in force.
+	limitInterval = time.Second
+)
+
+// Server serves a gateway on its addresses. Its fields are set before Run.
+type Server struct {
+	Gateway *Gateway
+	// Callers, Readiness and Metrics are the addresses; Metrics may be invalid.
+	Callers, Readiness, Metrics netip.AddrPort
+	// CallerHandler, ReadinessHandler and MetricsHandler answer there.
+	CallerHandler, ReadinessHandler, MetricsHandler http.Handler
+	// Grace is the time from the end of Run's context to the kill.
+	Grace    time.Duration
+	Recorder ebonyworks.Recorder
+
+	mutex   sync.Mutex
+	current *http.Server
+	limits  ebonyworks.CallerLimits
+	retired []*http.Server
+}
+
+// Run serves until the context ends, and then stops gracefully: not ready
+// first, then no new connections, then the rest of the requests in flight.
+func (s *Server) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", s.Callers.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	readiness, err := net.Listen("tcp", s.Readiness.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	if s.Metrics.IsValid() {
+		metrics, err := net.Listen("tcp", s.Metrics.String())
+		if err != nil {
+			return errors.Wrap(err, "listen for metrics")
+		}
+		s.serve(&http.Server{Handler: s.MetricsHandler, ReadHeaderTimeout: defaultHeaderTimeout}, metrics)
+	}
+	s.serve(&http.Server{Handler: s.ReadinessHandler, ReadHeaderTimeout: defaultHeaderTimeout}, readiness)
+	s.record(event.ProcessStarted, event.Attribute("Callers", s.Callers.String()))
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go s.Gateway.Run(running)
+	go s.accept(callers)
+	s.followLimits(ctx)
+	s.stop(callers)
+	return nil
+}
+
+// accept hands each connection to the server with the limits in force.
+func (s *Server) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.record(event.AcceptFailed, event.Attribute("Error", err.Error()))
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.server().Handler.(*handoff).give(conn)
+	}
+}
+
+// acceptPause is the pause after a connection that couldn't be accepted.
+const acceptPause = 50 * time.Millisecond
+
+// server returns the server for new connections.
+func (s *Server) server() *http.Server {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	limits := s.Gateway.Limits()
+	if s.current != nil && s.limits == limits {
+		return s.current
+	}
+	if s.current != nil {
+		s.retired = append(s.retired, s.current)
+	}
+	s.limits = limits
+	s.current = s.newServer(limits)
+	return s.current
+}
+
+func (s *Server) newServer(limits ebonyworks.CallerLimits) *http.Server {
+	handler := &handoff{Handler: s.CallerHandler, conns: make(chan net.Conn), closed: make(chan struct{})}
+	server := &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ReadHeaderTimeout: positive(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       positive(limits.IdleTimeout, defaultIdleTimeout),
+		ErrorLog:          log.New(errorLog{s}, "", 0),
+	}
+	s.serve(server, handler)
+	return server
+}
+
+func positive(value, otherwise time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+func (s *Server) serve(server *http.Server, listener net.Listener) {
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.record(event.AcceptFailed, event.Attribute("Error", err.Error()))
+		}
+	}()
+}
+
+// followLimits closes the kept connections of servers whose limits are no
+// longer in force, until the context ends.
+func (s *Server) followLimits(ctx context.Context) {
+	ticker := time.NewTicker(limitInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.server()
+		}
+	}
+}
+
+// stop ends the process's work within the grace time.
+func (s *Server) stop(callers net.Listener) {
+	begin := time.Now()
+	s.record(event.ProcessStopping, event.Attribute("Grace", s.Grace.String()))
+	s.Gateway.BeginStop()
+	time.Sleep(min(noticeTime, s.Grace/2))
+	if err := callers.Close(); err != nil {
+		s.record(event.AcceptFailed, event.Attribute("Error", err.Error()))
+	}
+	left := max(s.Grace-exitMargin-time.Since(begin), minDrainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	s.mutex.Lock()
+	servers := append([]*http.Server{s.current}, s.retired...)
+	s.mutex.Unlock()
+	var draining sync.WaitGroup
+	for _, server := range servers {
+		if server == nil {
+			continue
+		}
+		draining.Add(1)
+		go func() {
+			defer draining.Done()
+			if err := server.Shutdown(ctx); err != nil {
+				s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
+			}
+		}()
+	}
+	draining.Wait()
+	s.record(event.ProcessStopped, event.Attribute("Elapsed", time.Since(begin).String()))
+}
+
+func (s *Server) record(id ebonyworks.EventID, attributes ...ebonyworks.Attribute) {
+	if s.Recorder != nil {
+		s.Recorder.Record(event.New(id, attributes...))
+	}
+}
+
+// errorLog records what net/http complains about.
+type errorLog struct {
+	server *Server
+}
+
+// Write records one line.
+func (e errorLog) Write(line []byte) (int, error) {
+	e.server.record(event.ConnectionFailed, event.Attribute("Error", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
+// handoff is the listener and the handler of one server. Connections are
+// accepted once, whatever limits come into force.
+type handoff struct {
+	http.Handler
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (h *handoff) give(conn net.Conn) {
+	select {
+	case h.conns <- conn:
+	case <-h.closed:
+		// The server is stopping and has read nothing of the connection.
+		_ = conn.Close()
+	}
+}
+
+// Accept returns the next connection that is handed over.
+func (h *handoff) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (h *handoff) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
+// Addr returns no address of its own.
+func (h *handoff) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/state/directory/directory.go
@@ -0,0 +1,233 @@
+// Package directory holds the backend servers that registered themselves, by
+// service.
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+const (
+	// MaxServers bounds the registrations; further ones are refused.
+	MaxServers = 16384
+	// defaultSlots is assumed for a server that stated none.
+	defaultSlots = 1
+)
+
+// Directory holds registrations. It is safe for concurrent use. The zero value
+// is usable.
+type Directory struct {
+	mutex sync.RWMutex
+	// servers has at most MaxServers entries.
+	servers map[ebonyworks.ServerID]*entry
+	// services are immutable views of the servers in use. They are built anew
+	// when a registration of the service changes.
+	services map[ebonyworks.ServiceID]*ebonyworks.Service
+	// caps are the connection caps that the configuration names.
+	caps map[ebonyworks.ServiceID]int
+	// loaded is set once a complete listing has been applied.
+	loaded bool
+}
+
+type entry struct {
+	registration ebonyworks.Registration
+	revision     ebonyworks.StoreRevision
+	// removed is set while the entry is missing from the store and kept until
+	// the given time, since servers register again after an outage.
+	removed   bool
+	keptUntil time.Time
+}
+
+// Change tells what a registration or a removal changed.
+type Change struct {
+	Registration ebonyworks.Registration
+	// Usable tells if the server is in use after the change.
+	Usable bool
+	// New is set for a server or an incarnation that wasn't known.
+	New bool
+}
+
+// Put applies a registration. It returns false if nothing relevant changed, if
+// the change is older than the known one, or if an earlier life of the server
+// wrote it after a later one.
+func (d *Directory) Put(registration ebonyworks.Registration, revision ebonyworks.StoreRevision) (Change, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.servers == nil {
+		d.servers = make(map[ebonyworks.ServerID]*entry)
+	}
+	known := d.servers[registration.Server.ID]
+	if known != nil && (revision < known.revision || registration.Incarnation < known.registration.Incarnation) {
+		return Change{}, false
+	}
+	if known == nil && len(d.servers) >= MaxServers {
+		return Change{}, false
+	}
+	fresh := known == nil || registration.Incarnation > known.registration.Incarnation
+	changed := fresh || known.removed || differs(known.registration, registration)
+	var before ebonyworks.ServiceID
+	if known != nil {
+		before = known.registration.Service
+	}
+	d.servers[registration.Server.ID] = &entry{registration: registration, revision: revision}
+	if !changed {
+		return Change{}, false
+	}
+	d.rebuild(registration.Service)
+	if before != "" && before != registration.Service {
+		d.rebuild(before)
+	}
+	return Change{Registration: registration, Usable: !registration.Leaving, New: fresh}, true
+}
+
+// Remove applies the removal of an entry. The server stays in use until
+// keepUntil; the zero time takes it out at once. It returns false if the
+// server wasn't known, or if the removal is older than the known registration.
+func (d *Directory) Remove(id ebonyworks.ServerID, revision ebonyworks.StoreRevision, keepUntil time.Time) (Change, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.servers[id]
+	if known == nil || revision < known.revision || known.removed {
+		return Change{}, false
+	}
+	if time.Now().Before(keepUntil) {
+		known.removed = true
+		known.keptUntil = keepUntil
+		return Change{Registration: known.registration, Usable: !known.registration.Leaving}, true
+	}
+	return d.drop(id, known), true
+}
+
+// Missing removes, in the manner of Remove, the entries that a listing as of
+// the revision doesn't contain.
+func (d *Directory) Missing(listed map[ebonyworks.ServerID]bool, asOf ebonyworks.StoreRevision, keepUntil time.Time) []Change {
+	var missing []ebonyworks.ServerID
+	d.mutex.Lock()
+	for id, known := range d.servers {
+		if !listed[id] && known.revision <= asOf {
+			missing = append(missing, id)
+		}
+	}
+	d.loaded = true
+	d.mutex.Unlock()
+	slices.Sort(missing)
+	var changes []Change
+	for _, id := range missing {
+		if change, ok := d.Remove(id, asOf, keepUntil); ok {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// Expire drops the removed entries that have been kept long enough.
+func (d *Directory) Expire() []Change {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := time.Now()
+	var changes []Change
+	for id, known := range d.servers {
+		if known.removed && !now.Before(known.keptUntil) {
+			changes = append(changes, d.drop(id, known))
+		}
+	}
+	return changes
+}
+
+// SetServices learns the services of a configuration.
+func (d *Directory) SetServices(services []ebonyworks.ForwardService) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.caps = make(map[ebonyworks.ServiceID]int, len(services))
+	for _, service := range services {
+		d.caps[service.ID] = service.ConnectionCap
+	}
+	for id, view := range d.services {
+		if view.ConnectionCap != d.caps[id] {
+			d.rebuild(id)
+		}
+	}
+}
+
+// Service returns the servers in use of a service, or nil if none is known.
+// The result isn't changed later.
+func (d *Directory) Service(id ebonyworks.ServiceID) *ebonyworks.Service {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.services[id]
+}
+
+// Loaded reports whether a complete listing has been applied.
+func (d *Directory) Loaded() bool {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.loaded
+}
+
+// Servers returns the servers in use of all services.
+func (d *Directory) Servers() map[ebonyworks.ServerID]bool {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	servers := make(map[ebonyworks.ServerID]bool, len(d.servers))
+	for _, service := range d.services {
+		for _, server := range service.Servers {
+			servers[server.ID] = true
+		}
+	}
+	return servers
+}
+
+// Addresses returns the addresses of the servers in use.
+func (d *Directory) Addresses() map[netip.AddrPort]bool {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	addresses := make(map[netip.AddrPort]bool, len(d.servers))
+	for _, service := range d.services {
+		for _, server := range service.Servers {
+			addresses[server.Address] = true
+		}
+	}
+	return addresses
+}
+
+func (d *Directory) drop(id ebonyworks.ServerID, known *entry) Change {
+	delete(d.servers, id)
+	d.rebuild(known.registration.Service)
+	return Change{Registration: known.registration}
+}
+
+// rebuild makes a new view of the servers in use of the service.
+func (d *Directory) rebuild(id ebonyworks.ServiceID) {
+	view := &ebonyworks.Service{ID: id, Slots: defaultSlots, ConnectionCap: d.caps[id]}
+	for _, known := range d.servers {
+		if known.registration.Service != id || known.registration.Leaving {
+			continue
+		}
+		view.Servers = append(view.Servers, known.registration.Server)
+		view.Slots = max(view.Slots, known.registration.Slots)
+	}
+	slices.SortFunc(view.Servers, func(a, b ebonyworks.Server) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	if d.services == nil {
+		d.services = make(map[ebonyworks.ServiceID]*ebonyworks.Service)
+	}
+	if len(view.Servers) == 0 {
+		delete(d.services, id)
+		return
+	}
+	d.services[id] = view
+}
+
+// differs reports whether the registrations differ in more than their sequence
+// and the progress of the warm-up.
+func differs(a, b ebonyworks.Registration) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.Warmup, b.Warmup = 0, 0
+	return a != b
+}
--- a/state/register/candidates.go
+++ b/state/register/candidates.go
@@ -150,6 +150,12 @@
 	if known.slow && !candidate.Failing && mayProbe && r.takeProbe(known, now) {
 		known.offer(candidate)
 	}
+	if candidate.Failing && r.ProbeByRequest && r.takeProbe(known, now) {
+		// A copy of a request that may be repeated costs its caller nothing.
+		// Without one, the request itself is the probe.
+		candidate.Probe = mayProbe
+		candidate.Failing = mayProbe
+	}
 }
 
 // takeProbe reports whether a probe is due, and gives it to this caller only.
--- a/state/register/learn.go
+++ b/state/register/learn.go
@@ -98,7 +98,7 @@
 	case ebonyworks.AttemptTimeout:
 		known.raise(now, attempt.Latency)
 		r.fail(known, attempt.Server, 1, now)
-	case ebonyworks.AttemptLost, ebonyworks.AttemptInvalid:
+	case ebonyworks.AttemptLost, ebonyworks.AttemptInvalid, ebonyworks.AttemptFailed:
 		r.fail(known, attempt.Server, 1, now)
 	case ebonyworks.AttemptUnreachable:
 		known.refreshed = now
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -70,6 +70,9 @@
 	Random *mathrand.Rand
 	// Recorder takes events; nil discards them.
 	Recorder ebonyworks.Recorder
+	// ProbeByRequest lets requests find out whether a failing server works
+	// again. It is for services whose status requests take a slot.
+	ProbeByRequest bool
 
 	mutex sync.Mutex
 	// servers has at most MaxServers entries.
@@ -174,9 +177,6 @@
 // Retain drops the records of servers that the configuration no longer names.
 // Servers that a later configuration adds start slowly.
 func (r *Register) Retain(configuration *ebonyworks.Configuration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	now := time.Now()
 	named := make(map[ebonyworks.ServerID]bool)
 	for i := range configuration.Catalogues {
 		for j := range configuration.Catalogues[i].Services {
@@ -185,6 +185,15 @@
 			}
 		}
 	}
+	r.RetainServers(named)
+}
+
+// RetainServers drops the records of servers that aren't named. Servers that a
+// later call adds start slowly.
+func (r *Register) RetainServers(named map[ebonyworks.ServerID]bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
 	for id := range r.servers {
 		if !named[id] {
 			delete(r.servers, id)
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -42,6 +42,9 @@
 	SearchTime   = "ebonyworks.search.duration"
 	MissedShards = "ebonyworks.missed_shards"
 	Reservations = "ebonyworks.reservations"
+	Forwards     = "ebonyworks.forwards"
+	ForwardTime  = "ebonyworks.forward.duration"
+	MissedParts  = "ebonyworks.missed_parts"
 )
 
 // Catalogue returns all metrics in the order of docs/telemetry.md.
@@ -66,5 +69,8 @@
 		{Name: SearchTime, Kind: Histogram, Unit: "s", Labels: []string{"route"}},
 		{Name: MissedShards, Kind: Counter, Labels: []string{"reason", "route"}},
 		{Name: Reservations, Kind: Counter, Labels: []string{"code", "outcome", "route"}},
+		{Name: Forwards, Kind: Counter, Labels: []string{"outcome", "route"}},
+		{Name: ForwardTime, Kind: Histogram, Unit: "s", Labels: []string{"route"}},
+		{Name: MissedParts, Kind: Counter, Labels: []string{"route"}},
 	}
 }
--- a/telemetry/observe.go
+++ b/telemetry/observe.go
@@ -43,6 +43,17 @@
 	))
 }
 
+// ForwardEnded counts the forwarded request and the parts that it missed.
+func (t *Telemetry) ForwardEnded(route ebonyworks.RouteID, kind ebonyworks.ReplyKind, missing int, elapsed time.Duration) {
+	ctx := context.Background()
+	name := attribute.String("route", string(route))
+	t.forwards.Add(ctx, 1, metric.WithAttributes(name, attribute.String("outcome", kind.String())))
+	t.forwardLatency.Record(ctx, elapsed.Seconds(), metric.WithAttributes(name))
+	if kind == ebonyworks.ReplyMerged && missing > 0 {
+		t.missedParts.Add(ctx, int64(missing), metric.WithAttributes(name))
+	}
+}
+
 func searchOutcome(outcome ebonyworks.SearchOutcome) string {
 	switch {
 	case outcome.Refusal != nil:
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -56,6 +56,9 @@
 	searchLatency  metric.Float64Histogram
 	missedShards   metric.Int64Counter
 	reservations   metric.Int64Counter
+	forwards       metric.Int64Counter
+	forwardLatency metric.Float64Histogram
+	missedParts    metric.Int64Counter
 }
 
 var _ ebonyworks.Observer = (*Telemetry)(nil)
@@ -118,7 +121,7 @@
 
 func (t *Telemetry) createInstruments() error {
 	meter := t.meters.Meter(scope)
-	var failures [6]error
+	var failures [9]error
 	t.attempts, failures[0] = meter.Int64Counter(instrument.Attempts,
 		metric.WithDescription("Attempts at backend servers by service, result and kind."))
 	t.attemptLatency, failures[1] = meter.Float64Histogram(instrument.AttemptTime,
@@ -133,6 +136,13 @@
 		metric.WithDescription("Shards that answers missed, by route and reason."))
 	t.reservations, failures[5] = meter.Int64Counter(instrument.Reservations,
 		metric.WithDescription("Reservations by route, outcome and code."))
+	t.forwards, failures[6] = meter.Int64Counter(instrument.Forwards,
+		metric.WithDescription("Forwarded requests by route and outcome."))
+	t.forwardLatency, failures[7] = meter.Float64Histogram(instrument.ForwardTime,
+		metric.WithUnit("s"), metric.WithDescription("Time to answer a forwarded request."),
+		metric.WithExplicitBucketBoundaries(buckets()...))
+	t.missedParts, failures[8] = meter.Int64Counter(instrument.MissedParts,
+		metric.WithDescription("Shards without a part in the merged answers."))
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create instruments")
 	}
