Hedge a leg only once most legs are done, and at twice the median at most

Cause: on hosts with a fifth of a core the answers of 90 shards wait in the host's own queue. While servers are slow the 90th percentile is their latency, so hedges came too late. Ruled out: a larger budget, since a starved leg was the effect.

--- a/coordination/delay/estimator.go
+++ b/coordination/delay/estimator.go
@@ -27,9 +27,13 @@
 	// minDelay is a round trip between the domains that are farthest apart.
 	minDelay = 3 * time.Millisecond
 	// initialPart and largestPart are parts of the target latency. A hedge that
-	// is sent later than half of the target has little time left.
+	// is sent later has little time left.
 	initialPart = 0.25
-	largestPart = 0.5
+	largestPart = 0.33
+	// medianFactor and medianSlack bound the delay by the median. While some
+	// servers of a route are slow, the percentile is their latency.
+	medianFactor = 2
+	medianSlack  = 2 * time.Millisecond
 	// overloadFactor is how far the median rises above its floor when queues
 	// stand at most servers of a route. Hedges would then lengthen the queues.
 	overloadFactor = 4
@@ -93,7 +97,8 @@
 	if known.high == 0 {
 		return max(initial, minDelay), true
 	}
-	return max(min(known.high, part(target, largestPart)), minDelay), !known.overloaded()
+	bound := min(medianFactor*known.usual+medianSlack, part(target, largestPart))
+	return max(min(known.high, bound), minDelay), !known.overloaded()
 }
 
 // Usual returns the median latency of the route's attempts, or zero.
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -34,6 +34,8 @@
 	Count(service ebonyworks.ServiceID)
 	// Take takes one repeat, or returns false.
 	Take(service ebonyworks.ServiceID) bool
+	// Left returns the repeats that can be taken now.
+	Left(service ebonyworks.ServiceID) float64
 	// Return gives back a repeat that reached no server.
 	Return(service ebonyworks.ServiceID)
 }
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -46,8 +47,10 @@
 		return "no server of service " + string(l.id) + " is known"
 	case l.started == 0:
 		return "no server of service " + string(l.id) + " is usable"
+	case l.inFlight > 0 && l.starved:
+		return "no response of service " + string(l.id) + " in time, and the repeat budget is used up"
 	case l.inFlight > 0:
-		return "no response of service " + string(l.id) + " in time"
+		return "no response of service " + string(l.id) + " in time after " + strconv.Itoa(l.started) + " attempts"
 	case l.starved:
 		return "service " + string(l.id) + " failed (" + l.last.String() + ") and the repeat budget is used up"
 	default:
@@ -55,6 +58,9 @@
 	}
 }
 
+// probeReserve is the number of repeats that a probe leaves for hedges.
+const probeReserve = 2
+
 // startFirst starts the first attempt, and a copy of the request at a server
 // that needs a probe.
 func (l *leg) startFirst(now time.Time) {
@@ -69,7 +75,10 @@
 	l.start(candidates[index], attemptFirst, false)
 	l.scheduleHedge(now)
 	for i := range candidates {
-		if i != index && candidates[i].Probe && l.mayStart() && l.run.forwarder.Repeats.Take(l.id) {
+		if i == index || !candidates[i].Probe || !l.mayStart() {
+			continue
+		}
+		if l.run.forwarder.Repeats.Left(l.id) > probeReserve && l.run.forwarder.Repeats.Take(l.id) {
 			l.start(candidates[i], attemptProbe, true)
 		}
 	}
--- a/coordination/fanout/report.go
+++ b/coordination/fanout/report.go
@@ -29,6 +29,8 @@
 	// HedgeDelay is the delay in force, and MayHedge if hedges were allowed.
 	HedgeDelay time.Duration
 	MayHedge   bool
+	// Missed lists the reasons of the legs without a response.
+	Missed string
 	// Notable lists the attempts that were no plain success at the first try.
 	Notable string
 }
@@ -52,6 +54,7 @@
 		Target:     r.route.TargetLatency,
 		HedgeDelay: r.hedgeDelay,
 		MayHedge:   r.mayHedge,
+		Missed:     r.missed(),
 		Notable:    r.notable(),
 	}
 	for _, leg := range r.legs {
@@ -62,6 +65,22 @@
 	return report
 }
 
+// missed lists the reasons of the legs without a response.
+func (r *run) missed() string {
+	var reasons []string
+	for _, leg := range r.legs {
+		if leg.done {
+			continue
+		}
+		if len(reasons) == maxNotable {
+			reasons = append(reasons, "...")
+			break
+		}
+		reasons = append(reasons, leg.reason())
+	}
+	return strings.Join(reasons, "; ")
+}
+
 // notable lists attempts as service/server kind result latency.
 func (r *run) notable() string {
 	var text strings.Builder
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -18,6 +18,13 @@
 	// refusedRetryAfter is when servers that shed load have usually worked off
 	// their queues.
 	refusedRetryAfter = 100 * time.Millisecond
+	// hedgeQuorum is the share of the legs that has to be done before others
+	// count as late.
+	hedgeQuorum = 0.6
+	// recheckPart is the part of the hedge delay after which legs are looked at
+	// again that couldn't be hedged, and minRecheck the least time.
+	recheckPart = 4
+	minRecheck  = 2 * time.Millisecond
 	// blockedRetryAfter is the advice for requests that crash servers.
 	blockedRetryAfter = 5 * time.Second
 )
@@ -212,13 +219,34 @@
 	return a
 }
 
-// hedge starts second attempts at the legs whose delay has passed.
+// hedge starts second attempts at the legs whose delay has passed. While most
+// legs are still open, the cause is this host or its link, and second attempts
+// would add to it.
 func (r *run) hedge(now time.Time) {
+	typical := r.mostDone()
 	for _, leg := range r.legs {
-		if !leg.due.IsZero() && !now.Before(leg.due) {
+		switch {
+		case leg.due.IsZero() || now.Before(leg.due):
+		case typical:
 			leg.hedge(now)
+		default:
+			leg.due = now.Add(max(r.hedgeDelay/recheckPart, minRecheck))
+		}
+	}
+}
+
+// mostDone reports whether enough legs have ended to call the others late.
+func (r *run) mostDone() bool {
+	if len(r.legs) == 1 {
+		return true
+	}
+	done := 0
+	for _, leg := range r.legs {
+		if leg.done {
+			done++
 		}
 	}
+	return float64(done) >= hedgeQuorum*float64(len(r.legs))
 }
 
 // settle returns the reply once it is certain.
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -58,6 +58,9 @@
 	if report.Reason != "" {
 		attributes = append(attributes, event.Attribute("Reason", report.Reason))
 	}
+	if report.Missed != "" {
+		attributes = append(attributes, event.Attribute("Missed", report.Missed))
+	}
 	if report.Notable != "" {
 		attributes = append(attributes, event.Attribute("Tries", report.Notable))
 	}
