Hand a host's view of the store to hosts that can't reach it

Their logs show two faults: encoding the view always failed, because errors.Wrap of go-faster returns an error for a nil one, and after the return the backlog of 2,600 changes came in portions with a pause of a second after each.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -31,6 +31,9 @@
 	// each call of the store is paid for. It is a third of the 3 s in which
 	// changes have to be in force.
 	gatherTime = time.Second
+	// backlog is the number of changes in one watch from which more are taken to
+	// wait, as after an outage: the store returns some hundred at a time.
+	backlog = 100
 	// peerPatience is how long the store has to be unavailable before peers are
 	// asked. Together with an exchange it is below the 3 s in which changes have
 	// to be in force.
@@ -147,6 +150,9 @@
 		f.apply(changes)
 		f.advance(after)
 		f.expire()
+		if len(changes) >= backlog {
+			continue
+		}
 		wakeup.Wait(ctx, f.spread(gatherTime), nil)
 	}
 }
--- a/protocol/bundle/codec.go
+++ b/protocol/bundle/codec.go
@@ -79,7 +79,10 @@
 		}
 	}
 	encoded, err := json.Marshal(wire)
-	return encoded, errors.Wrap(err, "encode bundle")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode bundle")
+	}
+	return encoded, nil
 }
 
 // Decode reads the bytes that Encode made.
