--- /dev/null
+++ b/coordination/registry/follower_test.go
@@ -0,0 +1,312 @@
+package registry_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/registry"
+	"github.com/ebonyworks/ebonyworks/state/directory"
+)
+
+// store is a store with a history, in memory.
+type store struct {
+	mutex sync.Mutex
+	// changes are all changes in order; the revision of each is its place.
+	changes []ebonyworks.StoreChange
+	// dropped is the revision up to which the history is gone.
+	dropped ebonyworks.StoreRevision
+	// behind is how many changes an old listing misses.
+	behind int
+	// portion is the number of changes in one watch at most.
+	portion int
+	down    bool
+	calls   int
+	woken   chan struct{}
+}
+
+func newStore() *store { return &store{portion: 500, woken: make(chan struct{})} }
+
+func (s *store) add(change ebonyworks.StoreChange) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change.Revision = ebonyworks.StoreRevision(len(s.changes) + 1)
+	s.changes = append(s.changes, change)
+	close(s.woken)
+	s.woken = make(chan struct{})
+}
+
+func (s *store) register(id string, leaving bool) {
+	s.add(ebonyworks.StoreChange{Registration: &ebonyworks.Registration{
+		Server:  ebonyworks.Server{ID: ebonyworks.ServerID(id), Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		Service: "s", Slots: 2, Leaving: leaving,
+	}})
+}
+
+func (s *store) configure(revision int) {
+	s.add(ebonyworks.StoreChange{Configuration: &ebonyworks.ForwardConfiguration{Revision: ebonyworks.Revision(revision)}})
+}
+
+func (s *store) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func (s *store) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+var errDown = &ebonyworks.StoreError{Fault: ebonyworks.StoreUnavailable, Message: "down"}
+
+func (s *store) List(_ context.Context, fresh bool) (ebonyworks.StoreListing, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down {
+		return ebonyworks.StoreListing{}, errDown
+	}
+	end := len(s.changes)
+	if !fresh {
+		end = max(0, end-s.behind)
+	}
+	newest := make(map[string]ebonyworks.StoreChange)
+	for _, change := range s.changes[:end] {
+		switch {
+		case change.Configuration != nil:
+			newest["configuration"] = change
+		case change.Registration != nil:
+			newest[string(change.Registration.Server.ID)] = change
+		default:
+			delete(newest, string(change.Removed))
+		}
+	}
+	listing := ebonyworks.StoreListing{AsOf: ebonyworks.StoreRevision(end)}
+	for _, change := range newest {
+		listing.Changes = append(listing.Changes, change)
+	}
+	return listing, nil
+}
+
+func (s *store) Watch(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) ([]ebonyworks.StoreChange, ebonyworks.StoreRevision, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		s.mutex.Lock()
+		s.calls++
+		woken := s.woken
+		switch {
+		case s.down:
+			s.mutex.Unlock()
+			return nil, 0, errDown
+		case after < s.dropped:
+			s.mutex.Unlock()
+			return nil, 0, &ebonyworks.StoreError{Fault: ebonyworks.StoreHistoryGone}
+		case int(after) < len(s.changes):
+			end := min(len(s.changes), int(after)+s.portion)
+			changes := append([]ebonyworks.StoreChange(nil), s.changes[after:end]...)
+			s.mutex.Unlock()
+			return changes, ebonyworks.StoreRevision(end), nil
+		}
+		s.mutex.Unlock()
+		select {
+		case <-woken:
+		case <-deadline.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, errDown
+		}
+	}
+}
+
+func follow(t *testing.T, s *store) *registry.Follower {
+	t.Helper()
+	follower := &registry.Follower{Store: s, Directory: &directory.Directory{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return follower
+}
+
+func revision(follower *registry.Follower) int {
+	table := follower.Table()
+	if table == nil {
+		return 0
+	}
+	return int(table.Configuration().Revision)
+}
+
+func usable(follower *registry.Follower, id string) bool {
+	follower.Tick()
+	return follower.Directory.Servers()[ebonyworks.ServerID(id)]
+}
+
+// Guards against a host that serves an old listing: the first one is behind,
+// and the host isn't ready before it has the changes since then.
+func TestOldListingIsCaughtUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.register("a", false)
+		s.configure(3)
+		s.register("a", true)
+		s.register("b", false)
+		s.configure(4)
+		s.behind = 3
+		follower := follow(t, s)
+		assert.False(t, follower.Ready())
+		synctest.Wait()
+		assert.True(t, follower.Ready())
+		assert.Equal(t, 4, revision(follower))
+		assert.False(t, usable(follower, "a"))
+		assert.True(t, usable(follower, "b"))
+	})
+}
+
+// Guards against changes that take effect later than 3 s after they were
+// accepted, and against a call of the store for each of them.
+func TestChangesTakeEffectInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		s.register("a", false)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		before := s.count()
+		for i := range 100 {
+			s.configure(2 + i)
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.register("a", true)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, 101, revision(follower))
+		assert.False(t, usable(follower, "a"))
+		assert.Less(t, s.count()-before, 20)
+	})
+}
+
+// Guards against a host that goes back to an older configuration, whatever the
+// store or a peer says.
+func TestNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(5)
+		follower := follow(t, s)
+		synctest.Wait()
+		s.configure(4)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, 5, revision(follower))
+	})
+}
+
+// Guards against a dropped history that is taken for no changes.
+func TestHistoryGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		s.register("a", false)
+		s.register("b", false)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.down = true })
+		time.Sleep(31 * time.Second)
+		s.add(ebonyworks.StoreChange{Removed: "a"})
+		s.configure(2)
+		s.set(func() { s.dropped, s.down, s.behind = 5, false, 4 })
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, 2, revision(follower))
+		assert.False(t, usable(follower, "a"))
+		assert.True(t, usable(follower, "b"))
+	})
+}
+
+// Guards against shards without servers after an outage in which all entries
+// lapsed, and against servers that are used for longer than the 2 s in which
+// live ones are back.
+func TestLapsedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		s.register("alive", false)
+		s.register("dead", false)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.down = true })
+		time.Sleep(40 * time.Second)
+		s.add(ebonyworks.StoreChange{Removed: "alive"})
+		s.add(ebonyworks.StoreChange{Removed: "dead"})
+		s.set(func() { s.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		assert.True(t, usable(follower, "alive"))
+		s.register("alive", false)
+		time.Sleep(4 * time.Second)
+		assert.True(t, usable(follower, "alive"))
+		assert.False(t, usable(follower, "dead"))
+	})
+}
+
+// Guards against a backlog that is worked off with a pause after each portion:
+// a host that the store turned away for 9 s was on an old configuration for
+// five more.
+func TestBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.down = true })
+		time.Sleep(40 * time.Second)
+		for i := range 2600 {
+			s.register(fmt.Sprintf("server-%d", i), false)
+		}
+		s.configure(2)
+		s.set(func() { s.down = false })
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, 2, revision(follower))
+	})
+}
+
+// Guards against a host that the store turns away and that doesn't learn from
+// its peers, and against a peer's older view that undoes what is known.
+func TestViewOfPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, away := newStore(), newStore()
+		for _, s := range []*store{shared, away} {
+			s.configure(1)
+			s.register("a", false)
+		}
+		near, far := follow(t, shared), follow(t, away)
+		time.Sleep(time.Minute)
+		old := near.View()
+		away.set(func() { away.down = true })
+		shared.register("a", true)
+		shared.register("b", false)
+		shared.configure(2)
+		time.Sleep(40 * time.Second)
+		assert.True(t, far.Wants(near.AsOf()))
+		far.Learn(near.View(), "near")
+		assert.Equal(t, 2, revision(far))
+		assert.False(t, usable(far, "a"))
+		assert.True(t, usable(far, "b"))
+		assert.False(t, far.Wants(near.AsOf()))
+		far.Learn(old, "near")
+		assert.Equal(t, 2, revision(far))
+		assert.False(t, usable(far, "a"))
+		assert.False(t, near.Wants(near.AsOf()+1), "the store answers this host")
+	})
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,223 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
+	"github.com/ebonyworks/ebonyworks/gateway"
+	"github.com/ebonyworks/ebonyworks/platform"
+	"github.com/ebonyworks/ebonyworks/transport/courier"
+)
+
+// site is a running gateway with servers of two shards behind it.
+type site struct {
+	host    *gateway.Gateway
+	address string
+	ready   string
+	work    atomic.Int64
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// serveRecord answers each request after the site's work time with a record
+// that begins with the name.
+func (s *site) serveRecord(t *testing.T, name string) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
+						return
+					}
+					time.Sleep(time.Duration(s.work.Load()))
+					if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\nContent-Length: 16\r\n\r\n%-16s",
+						request.Header.Get("Request-Id"), "stamp-"+name, name, name); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{stopped: make(chan error, 1)}
+	listing := ebonyworks.StoreListing{AsOf: 2, Changes: []ebonyworks.StoreChange{{Revision: 1, Configuration: &ebonyworks.ForwardConfiguration{
+		Revision: 1,
+		Routes: []ebonyworks.ForwardRoute{
+			{ID: "all", Host: "h.example", Prefix: "/all/", Idempotent: true, Timeout: time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2, Shards: []ebonyworks.ServiceID{"x", "y"}, TopRecords: 5, MinCoverage: 0.75},
+			{ID: "one", Host: "h.example", Prefix: "/one/", Timeout: 5 * time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2, Backends: []ebonyworks.WeightedService{{Service: "x", Weight: 1}}},
+		},
+		Services: []ebonyworks.ForwardService{{ID: "x", ConnectionCap: 26}, {ID: "y", ConnectionCap: 26}},
+		Limits:   ebonyworks.CallerLimits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second},
+	}}}}
+	for _, name := range []string{"x", "y"} {
+		listing.Changes = append(listing.Changes, ebonyworks.StoreChange{Revision: 2, Registration: &ebonyworks.Registration{
+			Server: ebonyworks.Server{ID: ebonyworks.ServerID("server-" + name), Address: s.serveRecord(t, name)}, Service: ebonyworks.ServiceID(name), Slots: 2,
+		}})
+	}
+	peers := freeAddress(t)
+	servers := &platform.Servers{}
+	s.host = gateway.New(gateway.Options{
+		Self: ebonyworks.Host{ID: "host", Address: peers}, Store: fixedStore{listing}, Backend: servers, Connections: servers, Peer: courier.NewClient(nil),
+		Repeats: allowance.Bound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, Observer: discard{},
+	})
+	front, ready := freeAddress(t), freeAddress(t)
+	s.address, s.ready = front.String(), ready.String()
+	server := &gateway.Server{
+		Gateway: s.host, Callers: front, Readiness: ready, Peers: peers, Grace: 6 * time.Second,
+		CallerHandler:    &platform.Callers{Forwarder: s.host, Limits: s.host.Limits, Stopping: s.host.Stopping},
+		ReadinessHandler: &platform.Readiness{Ready: s.host.Ready},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() { s.stopped <- server.Run(ctx) }()
+	t.Cleanup(cancel)
+	require.Eventually(t, func() bool { return s.readiness() == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
+	return s
+}
+
+// readiness returns the status of the readiness address, or zero.
+func (s *site) readiness() int {
+	response, err := http.Get("http://" + s.ready + "/ebonyworks/ready")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+func (s *site) ask(client *http.Client, method, path string, body []byte, header map[string]string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, "http://"+s.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", "9c41d07be2a35f68")
+	request.Header.Set("Deadline-Ms", "900")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	if header["Request-Id"] == "none" {
+		request.Header.Del("Request-Id")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response, string(content), err
+}
+
+// Guards against answers that differ from what the protocol of callers says.
+func TestAnswers(t *testing.T) {
+	s := newSite(t)
+	for _, test := range []struct {
+		name, method, path string
+		body               []byte
+		header             map[string]string
+		status             int
+		want               map[string]string
+		content            string
+	}{
+		{name: "merged", method: "GET", path: "/all/1", status: 200, content: "y               x               ",
+			want: map[string]string{"Part-Stamps": "stamp-x, stamp-y", "Missing-Parts": "0", "Content-Length": "32"}},
+		{name: "relayed", method: "POST", path: "/one/1", body: []byte("body"), status: 200, content: "x               ",
+			want: map[string]string{"Server-Stamp": "stamp-x", "X-Server": "x", "Request-Id": "9c41d07be2a35f68"}},
+		{name: "unknown route", method: "GET", path: "/none/1", status: 404},
+		{name: "no id", method: "GET", path: "/all/1", header: map[string]string{"Request-Id": "none"}, status: 400},
+		{name: "body too large", method: "POST", path: "/one/1", body: make([]byte, 1001), status: 413},
+		{name: "header too large", method: "GET", path: "/all/1", header: map[string]string{"X-Long": strings.Repeat("x", 16<<10)}, status: 431},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			response, content, err := s.ask(&http.Client{}, test.method, test.path, test.body, test.header)
+			require.NoError(t, err)
+			assert.Equal(t, test.status, response.StatusCode)
+			for name, value := range test.want {
+				assert.Equal(t, value, response.Header.Get(name), name)
+			}
+			if test.content != "" {
+				assert.Equal(t, test.content, content)
+			}
+		})
+	}
+}
+
+// Guards against requests that a planned stop cuts: callers with kept
+// connections go on asking until the process is gone. Each request that was
+// sent gets a whole answer, or its connection ends before it was read.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t)
+	s.work.Store(int64(300 * time.Millisecond))
+	var asking sync.WaitGroup
+	var served, broken atomic.Int64
+	var stopping atomic.Bool
+	for range 4 {
+		asking.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for {
+				response, _, err := s.ask(client, "GET", "/all/1", nil, nil)
+				switch {
+				case err == nil && response.StatusCode == http.StatusOK:
+					served.Add(1)
+				case stopping.Load() && err != nil && strings.Contains(err.Error(), "refused"):
+					return
+				default:
+					broken.Add(1)
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	begin := time.Now()
+	stopping.Store(true)
+	s.stop()
+	require.Eventually(t, func() bool { return s.readiness() != http.StatusOK }, time.Second, time.Millisecond)
+	require.NoError(t, <-s.stopped)
+	assert.Less(t, time.Since(begin), 6*time.Second)
+	asking.Wait()
+	assert.Zero(t, broken.Load())
+	assert.Greater(t, served.Load(), int64(8))
+}
--- /dev/null
+++ b/state/directory/directory_test.go
@@ -0,0 +1,97 @@
+package directory_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/state/directory"
+)
+
+func registration(id, service string, born int) ebonyworks.Registration {
+	return ebonyworks.Registration{
+		Server:  ebonyworks.Server{ID: ebonyworks.ServerID(id), Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		Service: ebonyworks.ServiceID(service), Incarnation: ebonyworks.Incarnation(born), Slots: 2,
+	}
+}
+
+func names(d *directory.Directory, service ebonyworks.ServiceID) []string {
+	view := d.Service(service)
+	if view == nil {
+		return nil
+	}
+	var ids []string
+	for _, server := range view.Servers {
+		ids = append(ids, string(server.ID))
+	}
+	return ids
+}
+
+// Guards against work for servers that left, and against servers that stay
+// away after they came back.
+func TestLifeOfServer(t *testing.T) {
+	var d directory.Directory
+	change, ok := d.Put(registration("a", "s", 1), 1)
+	assert.True(t, ok && change.New && change.Usable)
+	d.Put(registration("b", "s", 1), 2)
+	assert.Equal(t, []string{"a", "b"}, names(&d, "s"))
+	leaving := registration("a", "s", 1)
+	leaving.Leaving = true
+	change, ok = d.Put(leaving, 3)
+	assert.True(t, ok && !change.Usable && !change.New)
+	assert.Equal(t, []string{"b"}, names(&d, "s"))
+	_, ok = d.Remove("a", 4, time.Time{})
+	assert.True(t, ok)
+	change, ok = d.Put(registration("a", "s", 2), 5)
+	assert.True(t, ok && change.New)
+	assert.Equal(t, []string{"a", "b"}, names(&d, "s"))
+	d.Put(registration("a", "other", 3), 6)
+	assert.Equal(t, []string{"b"}, names(&d, "s"))
+	assert.Equal(t, []string{"a"}, names(&d, "other"))
+}
+
+// Guards against old news: changes that arrive twice or in another order, and
+// entries that an earlier life of a server wrote after a later one.
+func TestOldNewsChangesNothing(t *testing.T) {
+	var d directory.Directory
+	d.Put(registration("a", "s", 5), 10)
+	leaving := registration("a", "s", 4)
+	leaving.Leaving = true
+	_, ok := d.Put(leaving, 11)
+	assert.False(t, ok, "an earlier life")
+	leaving.Incarnation = 5
+	_, ok = d.Put(leaving, 9)
+	assert.False(t, ok, "an older revision")
+	_, ok = d.Remove("a", 9, time.Time{})
+	assert.False(t, ok)
+	assert.Equal(t, []string{"a"}, names(&d, "s"))
+	_, ok = d.Put(registration("a", "s", 5), 12)
+	assert.False(t, ok, "nothing changed")
+}
+
+// Guards against a shard without servers after an outage of the store: entries
+// that lapsed are kept until the servers had the time to register again, and
+// what is missing then is gone.
+func TestLapsedEntriesAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d directory.Directory
+		d.Put(registration("a", "s", 1), 1)
+		d.Put(registration("b", "s", 1), 2)
+		d.Put(registration("later", "s", 1), 30)
+		until := time.Now().Add(2 * time.Second)
+		changes := d.Missing(map[ebonyworks.ServerID]bool{}, 20, until)
+		require.Len(t, changes, 2)
+		assert.Equal(t, []string{"a", "b", "later"}, names(&d, "s"))
+		time.Sleep(time.Second)
+		d.Put(registration("a", "s", 1), 31)
+		assert.Empty(t, d.Expire())
+		time.Sleep(time.Second)
+		assert.Len(t, d.Expire(), 1)
+		assert.Equal(t, []string{"a", "later"}, names(&d, "s"))
+	})
+}
