--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -56,6 +56,17 @@
 	return &Ledger{bound: bound, origin: time.Now(), hosts: max(hosts, 1)}
 }
 
+// SetBound changes the bound. Another window starts the counts anew.
+func (l *Ledger) SetBound(bound Bound) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if bound.Window != l.bound.Window {
+		l.services = nil
+		l.origin = time.Now()
+	}
+	l.bound = bound
+}
+
 // SetHosts changes the number of hosts that share the slack.
 func (l *Ledger) SetHosts(hosts int) {
 	l.mutex.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -187,6 +187,9 @@
 // and isn't about to stop.
 func (g *Gateway) Ready() bool { return !g.Stopping() && g.follower.Ready() }
 
+// SetRepeats changes the bound of the repeats of all hosts together.
+func (g *Gateway) SetRepeats(bound allowance.Bound) { g.repeats.SetBound(bound) }
+
 // Leave tells the other hosts that this one is stopping.
 func (g *Gateway) Leave(ctx context.Context) { g.guild.Leave(ctx) }
 
