Leave time for the way back when an answer is sealed

Now 15 ms are left for the way back, and 20 if another host passes the answer on. Far servers cost 2.5 times at the gateway, since bytes between domains are paid for, and the pause between watches follows the bounds of the settings.

--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -329,3 +329,33 @@
 		assert.Empty(t, w.reached())
 	})
 }
+
+// Guards against incomplete answers that are sent in time and arrive late: a
+// target of 50 ms, with 6 ms to the host, 3 ms back, and a relay in between.
+func TestIncompleteAnswerArrivesInTime(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		w.set(func(server ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+			if strings.HasPrefix(string(server), "shard-07") {
+				return served(time.Minute)
+			}
+			return served(usual)
+		})
+		for _, test := range []struct {
+			relayed bool
+			latest  time.Duration
+		}{{false, 41 * time.Millisecond}, {true, 36 * time.Millisecond}} {
+			request := &ebonyworks.ForwardRequest{ID: "q", Host: "h", Method: "GET", Target: "/quick/1", Arrival: time.Now(), Patience: timeout}
+			begin := time.Now()
+			reply, ok := ebonyworks.ForwardReply{}, true
+			if test.relayed {
+				reply, ok = w.ForwardFor(context.Background(), request, 1)
+			} else {
+				reply = w.Forward(context.Background(), request)
+			}
+			assert.True(t, ok)
+			assert.Equal(t, 1, reply.Missing)
+			assert.LessOrEqual(t, time.Since(begin), test.latest)
+		}
+	})
+}
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -111,10 +111,10 @@
 	}
 	revision := table.Configuration().Revision
 	if f.Delegation == nil || !route.Scattered() {
-		return f.run(ctx, request, route, revision, false)
+		return f.run(ctx, request, route, revision, origin{})
 	}
 	reply, host := f.Delegation.Run(ctx, request, route.TargetLatency, revision, func(ctx context.Context, repeat bool) ebonyworks.ForwardReply {
-		return f.run(ctx, request, route, revision, repeat)
+		return f.run(ctx, request, route, revision, origin{repeat: repeat})
 	})
 	if f.Observer != nil {
 		f.Observer.Delegated(delegationReport(request, route, revision, &reply, host))
@@ -133,12 +133,20 @@
 	if !ok || !route.Idempotent {
 		return ebonyworks.ForwardReply{}, false
 	}
-	return f.run(ctx, request, route, revision, false), true
+	return f.run(ctx, request, route, revision, origin{relayed: true}), true
 }
 
-func (f *Forwarder) run(ctx context.Context, request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, repeat bool) ebonyworks.ForwardReply {
-	run := f.newRun(request, route, revision)
-	run.repeat = repeat
+// origin tells where a run comes from.
+type origin struct {
+	// repeat is set if another host may have run the request.
+	repeat bool
+	// relayed is set if another host passes the answer on.
+	relayed bool
+}
+
+func (f *Forwarder) run(ctx context.Context, request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, from origin) ebonyworks.ForwardReply {
+	run := f.newRun(request, route, revision, from.relayed)
+	run.repeat = from.repeat
 	reply := run.do(ctx)
 	if f.Observer != nil {
 		f.Observer.Forwarded(run.report(reply))
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -64,7 +64,7 @@
 	usual time.Duration
 }
 
-func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision) *run {
+func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, relayed bool) *run {
 	needed := services(route)
 	r := &run{
 		forwarder: f,
@@ -82,7 +82,7 @@
 		total:  len(needed),
 		needed: route.MinParts(),
 		target: request.Arrival.Add(route.TargetLatency),
-		early:  request.Arrival.Add(time.Duration(sealPart * float64(route.TargetLatency))),
+		early:  request.Arrival.Add(sealTime(route.TargetLatency, relayed)),
 	}
 	request.Merged = route.Scattered()
 	legs := make([]leg, len(needed))
--- a/coordination/fanout/seal.go
+++ b/coordination/fanout/seal.go
@@ -5,13 +5,28 @@
 const (
 	// sealPart is the part of the target latency after which an answer without
 	// the slowest shards is worth more than a late one. The rest is the way
-	// from and to the caller.
-	sealPart = 0.78
+	// from and to the caller, for which returnTime is left at least: two round
+	// trips of 3 ms each way when the caller opens a connection, and the
+	// sending.
+	sealPart   = 0.78
+	returnTime = 15 * time.Millisecond
+	// relayTime is left besides if another host passes the answer on.
+	relayTime = 5 * time.Millisecond
 	// lateGrace is how long an answer that is late already waits for its last
 	// shards. Pauses of servers end within this time.
 	lateGrace = 150 * time.Millisecond
 )
 
+// sealTime returns how long after its arrival an incomplete answer is sent.
+func sealTime(target time.Duration, relayed bool) time.Duration {
+	back := returnTime
+	if relayed {
+		back += relayTime
+	}
+	byPart := time.Duration(sealPart * float64(target))
+	return min(byPart, max(target-back, target/2))
+}
+
 type sealDecision int
 
 const (
--- a/coordination/fanout/world_test.go
+++ b/coordination/fanout/world_test.go
@@ -103,8 +103,11 @@
 		}
 	}
 	one := []ebonyworks.WeightedService{{Service: shard(0), Weight: 1}}
+	quick := all
+	quick.ID, quick.Prefix, quick.TargetLatency = "quick", "/quick/", target/2
 	configuration.Routes = []ebonyworks.ForwardRoute{
 		all,
+		quick,
 		{ID: "one", Host: "h", Prefix: "/one/", Idempotent: true, Timeout: timeout, TargetLatency: target, MaxAttempts: 2, Backends: one},
 		{ID: "once", Host: "h", Prefix: "/once/", Timeout: timeout, TargetLatency: target, MaxAttempts: 2, Backends: one},
 	}
--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -27,10 +27,13 @@
 	watchTime = 30 * time.Second
 	// catchUpTime is how long the first watch after an old listing waits.
 	catchUpTime = time.Millisecond
-	// gatherTime is the pause between two watches. Changes come in bursts, and
-	// each call of the store is paid for. It is a third of the 3 s in which
-	// changes have to be in force.
-	gatherTime = time.Second
+	// gatherPart is the part of the time in which changes have to be in force
+	// that passes between two watches. Changes come in bursts, and each call of
+	// the store is paid for.
+	gatherPart = 3
+	// defaultApplyTime is the time in which changes have to be in force if none
+	// is set.
+	defaultApplyTime = 3 * time.Second
 	// backlog is the number of changes in one watch from which more are taken to
 	// wait, as after an outage: the store returns some hundred at a time.
 	backlog = 100
@@ -50,6 +53,9 @@
 type Follower struct {
 	Store     ebonyworks.StoreReader
 	Directory *directory.Directory
+	// ApplyTime is the time in which changes have to be in force. Zero means
+	// three seconds.
+	ApplyTime time.Duration
 	// Recorder takes events; nil discards them.
 	Recorder ebonyworks.Recorder
 	// Random spreads the calls of hosts. It must not be shared.
@@ -153,7 +159,7 @@
 		if len(changes) >= backlog {
 			continue
 		}
-		wakeup.Wait(ctx, f.spread(gatherTime), nil)
+		wakeup.Wait(ctx, f.spread(f.gatherTime()), nil)
 	}
 }
 
@@ -345,6 +351,14 @@
 	wakeup.Wait(ctx, f.spread(min(firstBackoff<<min(failures, 8), maxBackoff)), nil)
 }
 
+// gatherTime returns the pause between two watches.
+func (f *Follower) gatherTime() time.Duration {
+	if f.ApplyTime <= 0 {
+		return defaultApplyTime / gatherPart
+	}
+	return f.ApplyTime / gatherPart
+}
+
 // spread returns a duration between three and five quarters of the given one.
 func (f *Follower) spread(duration time.Duration) time.Duration {
 	if f.Random == nil {
--- a/coordination/selection/selection.go
+++ b/coordination/selection/selection.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// farFactor multiplies the cost of servers in other domains. A near server
+	// farFactor, unless another one is set, multiplies the cost of servers in other domains. A near server
 	// with the same latency is preferred while it is idle, and passed over for
 	// an idle far one as soon as it has an attempt in flight (cost 2 > 1.5).
 	farFactor = 1.5
@@ -27,6 +27,10 @@
 // observation: latency average x (attempts in flight + 1). It is safe for
 // concurrent use. The zero value is usable and has a fixed seed.
 type Selector struct {
+	// FarFactor multiplies the cost of servers in other domains; zero means 1.5.
+	// It isn't changed after the first use.
+	FarFactor float64
+
 	mutex sync.Mutex
 	// random is guarded by mutex.
 	random *mathrand.Rand
@@ -128,7 +132,7 @@
 		return of.first
 	}
 	first, second := &candidates[of.first], &candidates[of.second]
-	firstCost, secondCost := cost(first, unknown), cost(second, unknown)
+	firstCost, secondCost := s.cost(first, unknown), s.cost(second, unknown)
 	switch {
 	case firstCost*tieFactor < secondCost:
 		return of.first
@@ -143,14 +147,14 @@
 	return of.second
 }
 
-func cost(candidate *ebonyworks.Candidate, unknown float64) float64 {
+func (s *Selector) cost(candidate *ebonyworks.Candidate, unknown float64) float64 {
 	latency := float64(candidate.Latency)
 	if latency == 0 {
 		latency = unknown
 	}
 	result := latency * float64(candidate.InFlight+1)
 	if !candidate.Near {
-		result *= farFactor
+		result *= s.far()
 	}
 	if candidate.Limit > 0 && candidate.InFlight >= candidate.Limit {
 		result *= queueFactor
@@ -158,6 +162,13 @@
 	return result
 }
 
+func (s *Selector) far() float64 {
+	if s.FarFactor > 0 {
+		return s.FarFactor
+	}
+	return farFactor
+}
+
 // averageLatency returns the latency that a server without samples is taken
 // to have: the average of the others, so that it is neither flooded nor
 // avoided.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// tidyInterval is the time between two looks at kept connections and at
 	// servers whose entries didn't come back.
 	tidyInterval = 500 * time.Millisecond
+	// farFactor lets a far server have an attempt only if the near one has at
+	// least two in flight or is that much slower.
+	farFactor = 2.5
 )
 
 // ConnectionKeeper is a backend that keeps connections.
@@ -51,9 +54,12 @@
 	Backend     ebonyworks.ForwardBackend
 	Connections ConnectionKeeper
 	// Repeats bounds the repeats of all hosts together.
-	Repeats  allowance.Bound
-	Recorder ebonyworks.Recorder
-	Observer fanout.Observer
+	Repeats allowance.Bound
+	// ApplyTime is the time in which changes of the store have to be in force.
+	// Zero means three seconds.
+	ApplyTime time.Duration
+	Recorder  ebonyworks.Recorder
+	Observer  fanout.Observer
 	// Seed makes the random choices reproducible.
 	Seed uint64
 }
@@ -117,6 +123,7 @@
 	g.follower = &registry.Follower{
 		Store:     options.Store,
 		Directory: g.directory,
+		ApplyTime: options.ApplyTime,
 		Recorder:  options.Recorder,
 		Random:    random(storeStream),
 		Changed:   g.retain,
@@ -126,7 +133,7 @@
 		Table:      g.follower.Table,
 		Directory:  g.directory,
 		Servers:    servers{g},
-		Selection:  selection.New(random(selectionStream)),
+		Selection:  nearSelector(random(selectionStream)),
 		Quota:      g.quota,
 		Repeats:    g.repeats,
 		Delays:     g.delays,
@@ -147,6 +154,14 @@
 	return g
 }
 
+// nearSelector prefers near servers more than searches do: bytes between
+// domains are paid for, and the servers of a shard have slots to spare.
+func nearSelector(random *rand.Rand) *selection.Selector {
+	selector := selection.New(random)
+	selector.FarFactor = farFactor
+	return selector
+}
+
 // Run follows the store and the other hosts until the context ends.
 func (g *Gateway) Run(ctx context.Context) {
 	var loops sync.WaitGroup
