--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -103,11 +103,11 @@
 func (f *Forwarder) Forward(ctx context.Context, request *ebonyworks.ForwardRequest) ebonyworks.ForwardReply {
 	table := f.Table()
 	if table == nil {
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: "no configuration is known yet", RetryAfter: startRetryAfter}
+		return f.turnedAway(request, 0, ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: "no configuration is known yet", RetryAfter: startRetryAfter})
 	}
 	route, ok := table.Match(request.Host, request.Path())
 	if !ok {
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyNoRoute, Reason: "no route accepts the request"}
+		return f.turnedAway(request, table.Configuration().Revision, ebonyworks.ForwardReply{Kind: ebonyworks.ReplyNoRoute, Reason: "no route accepts the request"})
 	}
 	revision := table.Configuration().Revision
 	if f.Delegation == nil || !route.Scattered() {
@@ -122,6 +122,20 @@
 	return reply
 }
 
+// turnedAway reports a request that no route was found for.
+func (f *Forwarder) turnedAway(request *ebonyworks.ForwardRequest, revision ebonyworks.Revision, reply ebonyworks.ForwardReply) ebonyworks.ForwardReply {
+	if f.Observer != nil {
+		f.Observer.Forwarded(Report{
+			Request:  request.ID,
+			Revision: revision,
+			Kind:     reply.Kind,
+			Reason:   reply.Reason,
+			Elapsed:  time.Since(request.Arrival),
+		})
+	}
+	return reply
+}
+
 // ForwardFor runs the request of another host, which expects the configuration
 // to be in force. It returns false if another one is.
 func (f *Forwarder) ForwardFor(ctx context.Context, request *ebonyworks.ForwardRequest, revision ebonyworks.Revision) (ebonyworks.ForwardReply, bool) {
--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,405 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// front is one process of the gateway.
+type front struct {
+	address, ready, settings string
+	log                      *os.File
+	command                  *exec.Cmd
+	done                     chan struct{}
+	paused                   bool
+}
+
+type site struct {
+	binary  string
+	seed    uint64
+	store   *store
+	ledger  *ledger
+	fronts  []*front
+	servers []*backend
+	version int
+}
+
+func newSite(t *testing.T, binary string, seed uint64) *site {
+	t.Helper()
+	s := &site{binary: binary, seed: seed, store: newStore(), ledger: newLedger()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: s.store}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.configure()
+	for shard := range shardCount {
+		for range 2 {
+			s.addServer(t, fmt.Sprintf("shard-%d", shard))
+		}
+	}
+	for range 2 {
+		s.addServer(t, "desk")
+	}
+	// Each run and each host has an address of its own on the loopback network.
+	base := fmt.Sprintf("127.%d.%d", 1+seed%200, 1+os.Getpid()%250)
+	var seeds []string
+	for i := range hostCount {
+		seeds = append(seeds, fmt.Sprintf("%s.%d:7003", base, i+2))
+	}
+	for i := range hostCount {
+		ip := fmt.Sprintf("%s.%d", base, i+2)
+		f := &front{address: ip + ":7001", ready: ip + ":7002", settings: filepath.Join(t.TempDir(), "settings.conf")}
+		content := strings.Join([]string{
+			"NodeName=host-" + fmt.Sprint(i), "Zone=zone-" + fmt.Sprint(i), "ListenAddrs.Front=" + f.address, "ListenAddrs.Ready=" + f.ready,
+			"ListenAddrs.Control=" + ip + ":7003", "Seeds=" + strings.Join(seeds, ","), "platform.Address=" + listener.Addr().String(),
+			"Limits.CpuShare=0.4", "Limits.Cores=1", "Bounds.GraceS=6", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10",
+			"Bounds.RetrySlack=56", "Bounds.ConfigApplyMs=3000", "Bounds.DrainMs=3000",
+		}, "\n")
+		require.NoError(t, os.WriteFile(f.settings, []byte(content), 0o600))
+		f.log, err = os.CreateTemp("", fmt.Sprintf("soak-%d-host-%d-*.log", seed, i))
+		require.NoError(t, err)
+		t.Cleanup(func() {
+			// The logs of a failed run are kept.
+			if !t.Failed() {
+				_ = os.Remove(f.log.Name())
+			}
+		})
+		s.fronts = append(s.fronts, f)
+	}
+	return s
+}
+
+// configure writes the next version of the configuration, whose newest route
+// has the version in its path.
+func (s *site) configure() {
+	s.version += 1 + s.version%3
+	var shards, services []string
+	for shard := range shardCount {
+		shards = append(shards, fmt.Sprintf("%q", fmt.Sprintf("shard-%d", shard)))
+		services = append(services, fmt.Sprintf(`{"Name":"shard-%d","MaxConns":26}`, shard))
+	}
+	services = append(services, `{"Name":"desk","MaxConns":26}`)
+	gather := fmt.Sprintf(`"Host":"h.example","RouteKind":"idempotent","TimeoutMs":800,"TargetLatencyMs":100,"Gather":[%s],"MaxAttempts":2,"TopK":5,"LowerBound":0.5`, strings.Join(shards, ","))
+	s.store.put("op/config", fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"all","Prefix":"/all/",%s},{"Name":"new","Prefix":"/v%d/",%s},{"Name":"once","Host":"h.example","Prefix":"/once/","RouteKind":"non_idempotent","TimeoutMs":800,"TargetLatencyMs":200,"Service":"desk","MaxAttempts":2}],"Services":[%s],"Limits":{"HeaderBytes":16384,"BodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":5000}}`,
+		s.version, gather, s.version, gather, strings.Join(services, ",")))
+}
+
+func (s *site) addServer(t *testing.T, service string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &backend{id: fmt.Sprintf("i-%d-%d", s.seed, len(s.servers)), service: service, ledger: s.ledger, listener: listener, delay: 5 * time.Millisecond}
+	go b.serve()
+	t.Cleanup(func() { _ = listener.Close() })
+	s.servers = append(s.servers, b)
+	s.announce(b, "ready")
+}
+
+func (s *site) announce(b *backend, state string) {
+	s.store.put("servers/"+b.id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":4,"State":%q,"WarmupLeftMs":0,"Sequence":1,"born":1}`, b.service, b.listener.Addr(), state))
+}
+
+func (s *site) start(t *testing.T) {
+	t.Helper()
+	for _, f := range s.fronts {
+		f.start(t, s.binary)
+	}
+	t.Cleanup(func() {
+		for _, f := range s.fronts {
+			f.kill()
+		}
+	})
+	for _, f := range s.fronts {
+		require.Eventually(t, f.isReady, 5*time.Second, 20*time.Millisecond)
+	}
+}
+
+func (f *front) start(t *testing.T, binary string) {
+	t.Helper()
+	f.command = exec.Command(binary)
+	f.command.Env = []string{"EBONYWORKS_BOOT=" + f.settings}
+	f.command.Stdout, f.command.Stderr = f.log, f.log
+	require.NoError(t, f.command.Start())
+	f.done = make(chan struct{})
+	go func(command *exec.Cmd, done chan struct{}) {
+		_ = command.Wait()
+		close(done)
+	}(f.command, f.done)
+}
+
+func (f *front) signal(signal syscall.Signal) { _ = f.command.Process.Signal(signal) }
+
+func (f *front) kill() {
+	f.signal(syscall.SIGKILL)
+	<-f.done
+}
+
+func (f *front) isReady() bool {
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + f.ready + "/ebonyworks/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// inject starts or ends one fault.
+func (s *site) inject(t *testing.T, random *rand.Rand) {
+	t.Helper()
+	f := s.fronts[random.IntN(len(s.fronts))]
+	b := s.servers[random.IntN(len(s.servers))]
+	switch random.IntN(12) {
+	case 0:
+		f.kill()
+		f.paused = false
+		f.start(t, s.binary)
+	case 1:
+		if !f.paused {
+			f.signal(syscall.SIGTERM)
+			select {
+			case <-f.done:
+			case <-time.After(7 * time.Second):
+				s.ledger.problem("host %s runs 7 s after SIGTERM", f.address)
+				f.kill()
+			}
+			f.start(t, s.binary)
+		}
+	case 2:
+		f.signal(syscall.SIGSTOP)
+		f.paused = true
+	case 3, 4:
+		s.resume()
+	case 5:
+		f.signal(syscall.SIGHUP)
+	case 6:
+		s.store.setFault([]string{"busy", "reset", "silent"}[random.IntN(3)])
+	case 7:
+		s.store.setFault("")
+	case 8:
+		s.configure()
+	case 9:
+		b.set(func() {
+			b.fault = []string{"shed", "lose", "reset", "garble", "extra", "silent"}[random.IntN(6)]
+		})
+	case 10:
+		b.set(func() { b.delay = time.Duration(1+random.IntN(60)) * time.Millisecond })
+	case 11:
+		for _, server := range s.servers {
+			server.set(func() { server.fault = "" })
+		}
+	}
+}
+
+func (s *site) resume() {
+	for _, f := range s.fronts {
+		f.signal(syscall.SIGCONT)
+		f.paused = false
+	}
+}
+
+// heal ends all faults, and lets one server leave.
+func (s *site) heal(t *testing.T) {
+	t.Helper()
+	s.store.setFault("")
+	s.resume()
+	for _, b := range s.servers {
+		b.set(func() { b.fault, b.delay = "", 5*time.Millisecond })
+	}
+	time.Sleep(4 * time.Second)
+	s.configure()
+	leaving := s.servers[0]
+	s.announce(leaving, "draining")
+	leaving.set(func() { leaving.leftAt = time.Now() })
+}
+
+// callers ask until they are stopped.
+type callers struct {
+	cancel context.CancelFunc
+	asking sync.WaitGroup
+}
+
+func (c *callers) stop() {
+	c.cancel()
+	c.asking.Wait()
+}
+
+func (s *site) startCallers(t *testing.T) *callers {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &callers{cancel: cancel}
+	for number := range callerCount {
+		c.asking.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * time.Second}
+			for i := 0; ctx.Err() == nil; i++ {
+				s.ask(client, s.fronts[(number+i/20)%hostCount], fmt.Sprintf("q-%d-%d-%d", s.seed, number, i), i%3 == 0)
+				time.Sleep(15 * time.Millisecond)
+			}
+		})
+	}
+	t.Cleanup(cancel)
+	return c
+}
+
+func (s *site) ask(client *http.Client, f *front, id string, once bool) {
+	method, path, body := http.MethodGet, "/all/"+id, io.Reader(nil)
+	if once {
+		method, path, body = http.MethodPost, "/once/"+id, bytes.NewReader([]byte("body of "+id))
+		s.ledger.mutex.Lock()
+		s.ledger.once[id] = true
+		s.ledger.mutex.Unlock()
+	}
+	request, err := http.NewRequest(method, "http://"+f.address+path, body)
+	if err != nil {
+		s.ledger.problem("make request: %v", err)
+		return
+	}
+	// The transport must not send a request a second time by itself.
+	request.GetBody = nil
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "800")
+	response, err := client.Do(request)
+	if err != nil {
+		s.note("no answer", false)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.note("cut answer", false)
+		return
+	}
+	s.judge(response, string(content), id, once)
+}
+
+func (s *site) note(outcome string, good bool) {
+	s.ledger.mutex.Lock()
+	defer s.ledger.mutex.Unlock()
+	s.ledger.outcomes[outcome]++
+	if good {
+		s.ledger.good = append(s.ledger.good, time.Now())
+	} else {
+		s.ledger.bad = append(s.ledger.bad, time.Now())
+	}
+}
+
+// judge checks one answer against what the servers would have sent.
+func (s *site) judge(response *http.Response, content, id string, once bool) {
+	s.note(response.Status, response.StatusCode == http.StatusOK)
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable:
+		s.ledger.mutex.Lock()
+		s.ledger.refused[id] = response.Status
+		s.ledger.mutex.Unlock()
+	case response.StatusCode != http.StatusOK:
+	case once:
+		if want := record("desk", id, 0) + record("desk", id, 1); content != want {
+			s.ledger.problem("answer to %s is %q, not %q", id, content, want)
+		}
+	default:
+		s.judgeMerged(response, content, id)
+	}
+}
+
+func (s *site) judgeMerged(response *http.Response, content, id string) {
+	parts := make(map[string]bool)
+	var records []string
+	for _, stamp := range strings.Split(response.Header.Get("Part-Stamps"), ", ") {
+		service, of, _ := strings.Cut(stamp, "/")
+		if of != id || parts[service] {
+			s.ledger.problem("answer to %s names part %q", id, stamp)
+			return
+		}
+		parts[service] = true
+		records = append(records, record(service, id, 0), record(service, id, 1))
+	}
+	if missing := fmt.Sprint(shardCount - len(parts)); response.Header.Get("Missing-Parts") != missing {
+		s.ledger.problem("answer to %s misses %s parts and says %s", id, missing, response.Header.Get("Missing-Parts"))
+	}
+	sort.Sort(sort.Reverse(sort.StringSlice(records)))
+	if want := strings.Join(records[:min(5, len(records))], ""); content != want {
+		s.ledger.problem("answer to %s is %q, not %q", id, content, want)
+	}
+}
+
+// check judges the whole run. Requests of the last two seconds came when all
+// faults were over.
+func (s *site) check(t *testing.T, settled time.Time) {
+	t.Helper()
+	time.Sleep(time.Second)
+	for _, f := range s.fronts {
+		s.checkNewest(f)
+	}
+	l := s.ledger
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for id := range l.once {
+		if l.runs[id] > 1 {
+			l.problems = append(l.problems, fmt.Sprintf("%s must not repeat and ran %d times", id, l.runs[id]))
+		}
+	}
+	for id, status := range l.refused {
+		if l.runs[id] > 0 {
+			l.problems = append(l.problems, fmt.Sprintf("%s was answered %s and ran", id, status))
+		}
+	}
+	after := func(times []time.Time) int {
+		count := 0
+		for _, at := range times {
+			if at.After(settled) {
+				count++
+			}
+		}
+		return count
+	}
+	good, bad := after(l.good), after(l.bad)
+	t.Logf("outcomes %v; after the faults %d good, %d bad", l.outcomes, good, bad)
+	assert.Empty(t, l.problems)
+	assert.Greater(t, good, 20, "hosts serve again after the faults")
+	assert.LessOrEqual(t, bad, good/50)
+	if t.Failed() {
+		for _, f := range s.fronts {
+			t.Logf("log of %s: %s", f.address, f.log.Name())
+		}
+	}
+}
+
+// checkNewest checks that the newest configuration is in force on the host.
+func (s *site) checkNewest(f *front) {
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/newest", f.address, s.version), nil)
+	if err != nil {
+		s.ledger.problem("make request: %v", err)
+		return
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", "newest")
+	client := &http.Client{Timeout: 2 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		s.ledger.problem("host %s doesn't answer after the faults: %v", f.address, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		s.ledger.problem("host %s answers %s on the newest route", f.address, response.Status)
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,84 @@
+// Package soak runs the real gateway as processes on one machine, injects
+// faults from outside, and checks the promises of the pages from what callers
+// and backend servers see.
+//
+// Each seed is one run: go test ./soak -run TestSoak -soak.seeds 1,2,3
+// -soak.duration 30s.
+package soak
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seeds    = flag.String("soak.seeds", "1", "seeds of the runs, separated by commas; a-b is a range")
+	duration = flag.Duration("soak.duration", 12*time.Second, "time with faults in each run")
+)
+
+const (
+	hostCount   = 3
+	shardCount  = 4
+	callerCount = 6
+	// settleTime is how long a run goes on without faults before its end. It is
+	// longer than any promise takes to hold again.
+	settleTime = 8 * time.Second
+)
+
+// Guards against promises that hold for single faults only: signals, restarts,
+// faults of the store, the servers and the links, and changes of the
+// configuration come in series and overlap.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "ebony-front")
+	build := exec.Command("go", "build", "-o", binary, "github.com/ebonyworks/ebonyworks/cmd/ebony-front")
+	output, err := build.CombinedOutput()
+	require.NoError(t, err, string(output))
+	for _, seed := range parseSeeds(t, *seeds) {
+		t.Run("seed="+strconv.FormatUint(seed, 10), func(t *testing.T) { soakOnce(t, binary, seed) })
+	}
+}
+
+func parseSeeds(t *testing.T, list string) []uint64 {
+	t.Helper()
+	var parsed []uint64
+	for _, part := range strings.Split(list, ",") {
+		first, last, isRange := strings.Cut(part, "-")
+		from, err := strconv.ParseUint(first, 10, 64)
+		require.NoError(t, err)
+		to := from
+		if isRange {
+			to, err = strconv.ParseUint(last, 10, 64)
+			require.NoError(t, err)
+		}
+		for seed := from; seed <= to; seed++ {
+			parsed = append(parsed, seed)
+		}
+	}
+	return parsed
+}
+
+func soakOnce(t *testing.T, binary string, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	site := newSite(t, binary, seed)
+	site.start(t)
+	callers := site.startCallers(t)
+	end := time.Now().Add(*duration)
+	for time.Now().Before(end) {
+		site.inject(t, random)
+		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
+	}
+	site.heal(t)
+	time.Sleep(settleTime)
+	settled := time.Now()
+	time.Sleep(2 * time.Second)
+	callers.stop()
+	site.check(t, settled)
+}
