Notice a watch of the store whose answer never comes; share the errors of tools

A host's watch had been sent while the store was silent, and waited for 30 s for an answer that never came. Now a watch after a failed call doesn't wait, one waits for 10 s at most, and it is given up when peers know more for two pauses. Tests: TestLostWatch, TestPeersKnowMore. The comparison of incarnations in reservation.Runner.addressed goes: the ticket names the incarnation, and Office.Owns compares it.

--- a/cmd/ebony-front/main.go
+++ b/cmd/ebony-front/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(platform.Run(os.Stdout, os.Stderr))
+	os.Exit(platform.Run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/ebony-load/main_test.go
+++ b/cmd/ebony-load/main_test.go
@@ -16,6 +16,7 @@
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 const settings = `{
@@ -76,15 +77,15 @@
 	output := t.TempDir()
 	args := append([]string{"run", "--scenario", "short", "--host", newHost(t, false), "--output", output}, files(t, settings)...)
 	status, stdout, stderr := execute(t, args...)
-	require.Equal(t, exitDone, status, stderr)
+	require.Equal(t, usage.Done, status, stderr)
 	assert.Contains(t, stdout, "reservations Ran")
 	assert.Contains(t, stderr, `"Event":7502`)
 	file := filepath.Join(output, resultsName)
 	status, table, stderr := execute(t, "table", file)
-	require.Equal(t, exitDone, status, stderr)
+	require.Equal(t, usage.Done, status, stderr)
 	assert.Equal(t, stdout, table)
 	status, drawn, stderr := execute(t, "plot", file, "--output", filepath.Join(output, "plots"))
-	require.Equal(t, exitDone, status, stderr)
+	require.Equal(t, usage.Done, status, stderr)
 	assert.Len(t, strings.Fields(drawn), 6)
 }
 
@@ -92,7 +93,7 @@
 func TestViolationsFail(t *testing.T) {
 	args := append([]string{"run", "--scenario", "short", "--host", newHost(t, true), "--output", t.TempDir()}, files(t, settings)...)
 	status, stdout, stderr := execute(t, args...)
-	assert.Equal(t, exitFailed, status)
+	assert.Equal(t, usage.Failed, status)
 	assert.Contains(t, stdout, "VIOLATIONS shards_not_divided")
 	assert.Contains(t, stderr, "contradict")
 }
@@ -108,15 +109,15 @@
 		status int
 		output string
 	}{
-		{"list", append([]string{"list"}, valid...), exitDone, "short\nfaulty\n"},
-		{"setup", append([]string{"setup", "--scenario", "short"}, valid...), exitDone, "SnapshotPeriod=1s\n"},
-		{"wrong settings", append([]string{"list"}, wrong...), exitInvalid, "MeanServiceTime: must be from 1µs"},
-		{"second mistake", append([]string{"list"}, wrong...), exitInvalid, "Routes[0].Name: no route \"no-route\""},
-		{"unknown scenario", append([]string{"setup", "--scenario", "x"}, valid...), exitInvalid, "no scenario \"x\""},
-		{"no target", append([]string{"run", "--scenario", "short"}, valid...), exitInvalid, "either --host or --direct"},
-		{"unknown flag", []string{"list", "--x"}, exitInvalid, "unknown flag"},
-		{"missing file", []string{"table", "/nonexistent"}, exitFailed, "open results"},
-		{"faults without stand-ins", append([]string{"run", "--scenario", "faulty", "--host", newHost(t, false)}, valid...), exitFailed, "no stand-ins"},
+		{"list", append([]string{"list"}, valid...), usage.Done, "short\nfaulty\n"},
+		{"setup", append([]string{"setup", "--scenario", "short"}, valid...), usage.Done, "SnapshotPeriod=1s\n"},
+		{"wrong settings", append([]string{"list"}, wrong...), usage.Invalid, "MeanServiceTime: must be from 1µs"},
+		{"second mistake", append([]string{"list"}, wrong...), usage.Invalid, "Routes[0].Name: no route \"no-route\""},
+		{"unknown scenario", append([]string{"setup", "--scenario", "x"}, valid...), usage.Invalid, "no scenario \"x\""},
+		{"no target", append([]string{"run", "--scenario", "short"}, valid...), usage.Invalid, "either --host or --direct"},
+		{"unknown flag", []string{"list", "--x"}, usage.Invalid, "unknown flag"},
+		{"missing file", []string{"table", "/nonexistent"}, usage.Failed, "open results"},
+		{"faults without stand-ins", append([]string{"run", "--scenario", "faulty", "--host", newHost(t, false)}, valid...), usage.Failed, "no stand-ins"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/cmd/ebony-load/root.go
+++ b/cmd/ebony-load/root.go
@@ -12,44 +12,9 @@
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/load/scenario"
 	"github.com/ebonyworks/ebonyworks/operator"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
-// Exit statuses.
-const (
-	exitDone    = 0
-	exitFailed  = 1
-	exitInvalid = 2
-)
-
-// invalidError tells that arguments, settings or configuration are invalid.
-type invalidError struct {
-	source   string
-	problems []ebonyworks.Problem
-}
-
-// Error returns one line for each problem.
-func (e *invalidError) Error() string {
-	text := ""
-	for i, problem := range e.problems {
-		if i > 0 {
-			text += "\n"
-		}
-		if e.source != "" {
-			text += e.source + ": "
-		}
-		if problem.Place != "" {
-			text += problem.Place + ": "
-		}
-		text += problem.Message
-	}
-	return text
-}
-
-func usage(command *cobra.Command, err error) error {
-	hint := fmt.Sprintf("%s (see %s --help)", err, command.CommandPath())
-	return &invalidError{problems: []ebonyworks.Problem{{Message: hint}}}
-}
-
 // run executes the tool and returns its exit status.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := newRoot()
@@ -57,15 +22,10 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	err := root.ExecuteContext(ctx)
-	if err == nil {
-		return exitDone
-	}
-	_, _ = fmt.Fprintln(stderr, "ebony-load:", err)
-	var invalid *invalidError
-	if errors.As(err, &invalid) {
-		return exitInvalid
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "ebony-load:", err)
 	}
-	return exitFailed
+	return usage.Status(err)
 }
 
 func newRoot() *cobra.Command {
@@ -82,7 +42,7 @@
 			return command.Help()
 		},
 	}
-	root.SetFlagErrorFunc(usage)
+	root.SetFlagErrorFunc(usage.Mistake)
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(newRun(), newList(), newSetup(), newTable(), newPlot(), newDissemination())
 	return root
@@ -110,7 +70,7 @@
 		return nil, nil, errors.Wrap(err, "read configuration")
 	}
 	if problems != nil {
-		return nil, nil, &invalidError{source: s.configuration, problems: problems}
+		return nil, nil, &usage.Error{Source: s.configuration, Problems: problems}
 	}
 	text, err := os.ReadFile(s.settings)
 	if err != nil {
@@ -118,7 +78,7 @@
 	}
 	settings, problems := scenario.Decode(text, configuration)
 	if problems != nil {
-		return nil, nil, &invalidError{source: s.settings, problems: problems}
+		return nil, nil, &usage.Error{Source: s.settings, Problems: problems}
 	}
 	return settings, configuration, nil
 }
@@ -127,7 +87,7 @@
 func (s *sources) find(command *cobra.Command, settings *scenario.Settings, name string) (scenario.Scenario, error) {
 	found, ok := settings.Scenario(name)
 	if !ok {
-		return found, usage(command, errors.Errorf("no scenario %q in %s", name, s.settings))
+		return found, usage.Mistake(command, errors.Errorf("no scenario %q in %s", name, s.settings))
 	}
 	return found, nil
 }
--- a/cmd/ebony-load/run.go
+++ b/cmd/ebony-load/run.go
@@ -25,6 +25,7 @@
 	"github.com/ebonyworks/ebonyworks/load/scenario"
 	"github.com/ebonyworks/ebonyworks/load/standins"
 	"github.com/ebonyworks/ebonyworks/transport/stockroom"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 const (
@@ -83,7 +84,7 @@
 
 func (o *options) run(command *cobra.Command) error {
 	if (len(o.hosts) == 0) == (len(o.direct) == 0) {
-		return usage(command, errors.New("either --host or --direct is needed"))
+		return usage.Mistake(command, errors.New("either --host or --direct is needed"))
 	}
 	settings, configuration, err := o.load()
 	if err != nil {
--- a/cmd/ebonyctl/check.go
+++ b/cmd/ebonyctl/check.go
@@ -9,6 +9,7 @@
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/settings"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 func newCheck() *cobra.Command {
@@ -22,7 +23,7 @@
 		Example: "  ebonyctl check published\n  ebonyctl check --settings examples/ebonyd.json",
 		RunE: func(command *cobra.Command, directories []string) error {
 			if len(directories)+len(files) == 0 {
-				return usage(command, errors.New("nothing to check"))
+				return usage.Mistake(command, errors.New("nothing to check"))
 			}
 			return check(command, directories, files)
 		},
@@ -34,16 +35,16 @@
 // check looks at all inputs before it fails, so that one run lists every
 // mistake. Invalid input takes precedence over other failures.
 func check(command *cobra.Command, directories, files []string) error {
-	all := &invalidError{}
+	all := &usage.Error{}
 	var failure error
 	note := func(err error) {
-		var wrong *invalidError
+		var wrong *usage.Error
 		if !errors.As(err, &wrong) {
 			failure = errors.Join(failure, err)
 			return
 		}
-		for _, problem := range wrong.problems {
-			all.problems = append(all.problems, ebonyworks.Problem{Message: line(wrong.source, problem)})
+		for _, problem := range wrong.Problems {
+			all.Problems = append(all.Problems, ebonyworks.Problem{Message: usage.Line(wrong.Source, problem)})
 		}
 	}
 	for _, directory := range directories {
@@ -56,11 +57,11 @@
 			note(err)
 		}
 	}
-	if all.problems == nil {
+	if all.Problems == nil {
 		return failure
 	}
 	if failure != nil {
-		all.problems = append(all.problems, ebonyworks.Problem{Message: failure.Error()})
+		all.Problems = append(all.Problems, ebonyworks.Problem{Message: failure.Error()})
 	}
 	return all
 }
@@ -71,7 +72,7 @@
 		return err
 	}
 	for _, warning := range operator.Warnings(configuration) {
-		command.PrintErrln("warning: " + line(directory, warning))
+		command.PrintErrln("warning: " + usage.Line(directory, warning))
 	}
 	services, servers := 0, 0
 	for _, catalogue := range configuration.Catalogues {
@@ -89,7 +90,7 @@
 func checkSettings(command *cobra.Command, file string) error {
 	loaded, problems := settings.Load(file)
 	if problems != nil {
-		return invalid(file, problems)
+		return &usage.Error{Source: file, Problems: problems}
 	}
 	_, err := fmt.Fprintf(command.OutOrStdout(), "%s: valid, host %s, domain %s, ticket keys %d\n",
 		file, loaded.Host, loaded.Domain, len(loaded.TicketKeys))
--- a/cmd/ebonyctl/configuration.go
+++ b/cmd/ebonyctl/configuration.go
@@ -4,6 +4,7 @@
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/operator"
 	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 // read returns the publication in a directory and its configuration.
@@ -13,7 +14,7 @@
 		return publication, nil, err
 	}
 	if problems != nil {
-		return publication, nil, invalid(directory, problems)
+		return publication, nil, &usage.Error{Source: directory, Problems: problems}
 	}
 	return publication, configuration, nil
 }
--- a/cmd/ebonyctl/explain.go
+++ b/cmd/ebonyctl/explain.go
@@ -7,6 +7,7 @@
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/operator"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 func newExplain() *cobra.Command {
@@ -31,7 +32,7 @@
 	resolution, found := operator.Explain(configuration, route)
 	if !found {
 		message := fmt.Sprintf("no route %q", route)
-		return invalid(directory, []ebonyworks.Problem{{Place: "Routes", Message: message}})
+		return &usage.Error{Source: directory, Problems: []ebonyworks.Problem{{Place: "Routes", Message: message}}}
 	}
 	return resolution.Print(command.OutOrStdout())
 }
--- a/cmd/ebonyctl/print.go
+++ b/cmd/ebonyctl/print.go
@@ -13,6 +13,7 @@
 	"github.com/ebonyworks/ebonyworks/operator/kitakaze"
 	"github.com/ebonyworks/ebonyworks/operator/retazos"
 	"github.com/ebonyworks/ebonyworks/protocol/notice"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 // printOptions are the flags of the print command.
@@ -55,7 +56,7 @@
 	if options.first != "" {
 		first, err := netip.ParseAddrPort(options.first)
 		if err != nil {
-			return usage(command, errors.Errorf("--first must be an IP address and port, not %q", options.first))
+			return usage.Mistake(command, errors.Errorf("--first must be an IP address and port, not %q", options.first))
 		}
 		addresses.First = first
 	}
@@ -73,7 +74,7 @@
 	}
 	publication, problems := plan.Publish(revision, base)
 	if problems != nil {
-		return invalid(name, problems)
+		return &usage.Error{Source: name, Problems: problems}
 	}
 	if options.output != "" {
 		return operator.Directory(options.output).Write(publication)
--- a/cmd/ebonyctl/request.go
+++ b/cmd/ebonyctl/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/transport/caller"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
 const (
@@ -66,7 +67,7 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			fields, err := parseFields(filters)
 			if err != nil {
-				return usage(command, err)
+				return usage.Mistake(command, err)
 			}
 			search := ebonyworks.Search{
 				Route:   ebonyworks.RouteID(flags.route),
@@ -104,7 +105,7 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			values, err := parseFields(fields)
 			if err != nil {
-				return usage(command, err)
+				return usage.Mistake(command, err)
 			}
 			ctx, cancel := flags.context(command)
 			defer cancel()
--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -22,10 +22,12 @@
 	// ReturnTime is how long after the return of the store servers are kept
 	// whose entries are missing: live servers register again within 2 s.
 	ReturnTime = 2200 * time.Millisecond
-	// watchTime is how long a watch waits for a change, the longest that the
-	// store allows. Probes of the connection notice a silent store sooner.
-	watchTime = 30 * time.Second
-	// catchUpTime is how long the first watch after an old listing waits.
+	// watchTime is how long a watch waits for a change. The answer of a waiting
+	// watch can be lost, so a longer one would save calls at the price of old
+	// news.
+	watchTime = 10 * time.Second
+	// catchUpTime is how long a watch waits after an old listing, and after a
+	// failed call: a store that was silent shows at once whether it answers.
 	catchUpTime = time.Millisecond
 	// gatherPart is the part of the time in which changes have to be in force
 	// that passes between two watches. Changes come in bursts, and each call of
@@ -37,6 +39,9 @@
 	// backlog is the number of changes in one watch from which more are taken to
 	// wait, as after an outage: the store returns some hundred at a time.
 	backlog = 100
+	// behindFactor is how many pauses between watches a peer may be ahead before
+	// the waiting watch is given up.
+	behindFactor = 2
 	// peerPatience is how long the store has to be unavailable before peers are
 	// asked. Together with an exchange it is below the 3 s in which changes have
 	// to be in force.
@@ -78,6 +83,10 @@
 	// was none.
 	returned time.Time
 	outage   time.Time
+	// giveUp ends the waiting watch; nil before the first.
+	giveUp context.CancelFunc
+	// behindSince is since when a peer is known to know more.
+	behindSince time.Time
 }
 
 // Table returns the routes in force, or nil if none are known.
@@ -129,20 +138,25 @@
 	}
 	for ctx.Err() == nil {
 		wait := watchTime
-		if !applied {
+		if !applied || failures > 0 {
 			wait = catchUpTime
 		}
-		changes, next, err := f.Store.Watch(ctx, after, wait)
+		changes, next, err := f.watch(ctx, after, wait)
 		if err != nil {
 			if isHistoryGone(err) {
 				f.record(event.StoreHistoryGone, event.Attribute("After", formatRevision(after)))
 				return
 			}
-			f.failed(ctx, err)
-			f.pause(ctx, failures)
 			failures++
+			if errors.Is(err, errGivenUp) && ctx.Err() == nil {
+				f.record(event.WatchGivenUp, event.Attribute("After", formatRevision(after)))
+				continue
+			}
+			f.failed(ctx, err)
+			f.pause(ctx, failures-1)
 			continue
 		}
+		recovered := failures > 0
 		failures = 0
 		f.succeeded()
 		after = max(after, next)
@@ -156,7 +170,7 @@
 		f.apply(changes)
 		f.advance(after)
 		f.expire()
-		if len(changes) >= backlog {
+		if recovered || len(changes) >= backlog {
 			continue
 		}
 		wakeup.Wait(ctx, f.spread(f.gatherTime()), nil)
@@ -208,6 +222,39 @@
 	f.asOf = max(f.asOf, asOf)
 }
 
+// watch asks for changes. It is given up if peers know more for a while: then
+// the answer was lost, or the connection went silent.
+func (f *Follower) watch(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) ([]ebonyworks.StoreChange, ebonyworks.StoreRevision, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mutex.Lock()
+	f.giveUp = cancel
+	f.behindSince = time.Time{}
+	f.mutex.Unlock()
+	changes, next, err := f.Store.Watch(ctx, after, wait)
+	if err != nil && ctx.Err() != nil {
+		return nil, 0, errGivenUp
+	}
+	return changes, next, err
+}
+
+var errGivenUp = errors.New("peers know more than the waiting watch has shown")
+
+// Heard learns up to which revision a peer knows the changes of the store.
+func (f *Follower) Heard(asOf ebonyworks.StoreRevision) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch {
+	case asOf <= f.asOf || !f.available:
+		f.behindSince = time.Time{}
+	case f.behindSince.IsZero():
+		f.behindSince = time.Now()
+	case time.Since(f.behindSince) > behindFactor*f.gatherTime() && f.giveUp != nil:
+		f.behindSince = time.Time{}
+		f.giveUp()
+	}
+}
+
 func (f *Follower) applyListing(listing ebonyworks.StoreListing) {
 	listed := make(map[ebonyworks.ServerID]bool, len(listing.Changes))
 	for _, change := range listing.Changes {
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -28,8 +28,10 @@
 	// portion is the number of changes in one watch at most.
 	portion int
 	down    bool
-	calls   int
-	woken   chan struct{}
+	// silent keeps calls that arrive meanwhile without an answer for good.
+	silent bool
+	calls  int
+	woken  chan struct{}
 }
 
 func newStore() *store { return &store{portion: 500, woken: make(chan struct{})} }
@@ -105,6 +107,15 @@
 		s.calls++
 		woken := s.woken
 		switch {
+		case s.silent:
+			s.mutex.Unlock()
+			patience := time.NewTimer(wait + 500*time.Millisecond)
+			defer patience.Stop()
+			select {
+			case <-patience.C:
+			case <-ctx.Done():
+			}
+			return nil, 0, errDown
 		case s.down:
 			s.mutex.Unlock()
 			return nil, 0, errDown
@@ -310,3 +321,44 @@
 		assert.False(t, near.Wants(near.AsOf()+1), "the store answers this host")
 	})
 }
+
+// Guards against changes that wait behind a call whose answer never comes: the
+// store was silent, answers again, and one host's watch is lost.
+func TestLostWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		s.register("a", false)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.silent = true })
+		s.add(ebonyworks.StoreChange{Removed: "nobody"})
+		time.Sleep(20 * time.Second)
+		s.set(func() { s.silent = false })
+		time.Sleep(2 * time.Second)
+		s.register("a", true)
+		time.Sleep(2500 * time.Millisecond)
+		assert.False(t, usable(follower, "a"))
+	})
+}
+
+// Guards against a host that doesn't notice that its peers know more while its
+// own watch waits.
+func TestPeersKnowMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.silent = true })
+		s.add(ebonyworks.StoreChange{Removed: "nobody"})
+		time.Sleep(1200 * time.Millisecond)
+		s.set(func() { s.silent = false })
+		s.configure(2)
+		for range 5 {
+			follower.Heard(ebonyworks.StoreRevision(3))
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, 2, revision(follower))
+	})
+}
--- a/coordination/reservation/runner.go
+++ b/coordination/reservation/runner.go
@@ -144,12 +144,12 @@
 
 // HandleReserve runs a reservation that another host forwarded. It never
 // forwards further, and runs nothing for another incarnation.
-func (r *Runner) HandleReserve(ctx context.Context, to ebonyworks.Host, reservation ebonyworks.Reservation) ebonyworks.Outcome {
+func (r *Runner) HandleReserve(ctx context.Context, _ ebonyworks.Host, reservation ebonyworks.Reservation) ebonyworks.Outcome {
 	claims, fault := r.settings.Tickets.Verify(reservation.Ticket)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
 	}
-	if r.settings.Tickets.Owns(claims) && r.addressed(to) {
+	if r.settings.Tickets.Owns(claims) {
 		return r.reserveHere(ctx, claims, reservation)
 	}
 	if outcome, ok := r.heldReservation(claims, reservation); ok {
@@ -159,12 +159,12 @@
 }
 
 // HandleOutcome answers a query that another host forwarded.
-func (r *Runner) HandleOutcome(_ context.Context, to ebonyworks.Host, token string) ebonyworks.Outcome {
+func (r *Runner) HandleOutcome(_ context.Context, _ ebonyworks.Host, token string) ebonyworks.Outcome {
 	claims, fault := r.settings.Tickets.Verify(token)
 	if fault != ticket.FaultNone {
 		return refuseTicket(fault)
 	}
-	if r.settings.Tickets.Owns(claims) && r.addressed(to) {
+	if r.settings.Tickets.Owns(claims) {
 		return r.query(claims)
 	}
 	if outcome, ok := r.heldOutcome(claims); ok {
@@ -222,10 +222,6 @@
 	return standing.Outcome
 }
 
-func (r *Runner) addressed(to ebonyworks.Host) bool {
-	return to.ID == r.settings.Host && to.Incarnation == r.settings.Incarnation
-}
-
 func (r *Runner) stopping() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/event/configuration.go
+++ b/event/configuration.go
@@ -42,6 +42,8 @@
 	ViewFromPeer ebonyworks.EventID = 4108
 	// ViewFailed is recorded when a peer's view of the store couldn't be had.
 	ViewFailed ebonyworks.EventID = 4109
+	// WatchGivenUp is recorded when a waiting watch is replaced because peers know more.
+	WatchGivenUp ebonyworks.EventID = 4110
 )
 
 var configurationEntries = []Entry{
@@ -64,4 +66,5 @@
 	{ID: RegistrationChanged, Level: Info, Message: "registration of a backend server changed", Action: "None."},
 	{ID: ViewFromPeer, Level: Info, Message: "learned from a peer what the store holds", Action: "Find out why this host can't reach the store."},
 	{ID: ViewFailed, Level: Info, Message: "view of a peer could not be had", Action: "None, unless it is frequent while the store is unavailable."},
+	{ID: WatchGivenUp, Level: Warning, Message: "watch of the store was replaced: peers know more", Action: "Check the link to the store if it is frequent."},
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -104,7 +104,9 @@
 
 // Receive fetches the view of a peer that knows more.
 func (c viewCarrier) Receive(message ebonyworks.Exchange, _ time.Time) {
-	if c.gateway.follower.Wants(ebonyworks.StoreRevision(message.Mark.Revision)) {
+	asOf := ebonyworks.StoreRevision(message.Mark.Revision)
+	c.gateway.follower.Heard(asOf)
+	if c.gateway.follower.Wants(asOf) {
 		go c.gateway.fetchView(message.From)
 	}
 }
