End waiting watches within the time in which changes have to be in force

Ruled out: the second line (peers know more), since all hosts wait alike. A watch now waits for twice the bound less half a second: 5.5 s for 3 s. TestWatchSentIntoSilence fails with 10 s.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -22,10 +22,12 @@
 	// ReturnTime is how long after the return of the store servers are kept
 	// whose entries are missing: live servers register again within 2 s.
 	ReturnTime = 2200 * time.Millisecond
-	// watchTime is how long a watch waits for a change. The answer of a waiting
-	// watch can be lost, so a longer one would save calls at the price of old
-	// news.
-	watchTime = 10 * time.Second
+	// watchFactor times the time in which changes have to be in force, less
+	// watchMargin, is how long a watch waits for a change. A watch that was sent
+	// while the store was silent is never answered, on all hosts alike. It has to
+	// end within that time after the store is back for long enough to count.
+	watchFactor = 2
+	watchMargin = 500 * time.Millisecond
 	// catchUpTime is how long a watch waits after an old listing, and after a
 	// failed call: a store that was silent shows at once whether it answers.
 	catchUpTime = time.Millisecond
@@ -137,7 +139,7 @@
 		f.advance(after)
 	}
 	for ctx.Err() == nil {
-		wait := watchTime
+		wait := watchFactor*f.applyTime() - watchMargin
 		if !applied || failures > 0 {
 			wait = catchUpTime
 		}
@@ -399,11 +401,13 @@
 }
 
 // gatherTime returns the pause between two watches.
-func (f *Follower) gatherTime() time.Duration {
+func (f *Follower) gatherTime() time.Duration { return f.applyTime() / gatherPart }
+
+func (f *Follower) applyTime() time.Duration {
 	if f.ApplyTime <= 0 {
-		return defaultApplyTime / gatherPart
+		return defaultApplyTime
 	}
-	return f.ApplyTime / gatherPart
+	return f.ApplyTime
 }
 
 // spread returns a duration between three and five quarters of the given one.
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -342,6 +342,28 @@
 	})
 }
 
+// Guards against watches that wait for long after they were sent while the
+// store was silent, without a failed call before: the store counts as back 4 s
+// after its return, and a change then has 3 s.
+func TestWatchSentIntoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		s.register("a", false)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.configure(2)
+		time.Sleep(100 * time.Millisecond)
+		s.set(func() { s.silent = true })
+		time.Sleep(1500 * time.Millisecond)
+		s.set(func() { s.silent = false })
+		time.Sleep(4 * time.Second)
+		s.register("a", true)
+		time.Sleep(3 * time.Second)
+		assert.False(t, usable(follower, "a"))
+	})
+}
+
 // Guards against a host that doesn't notice that its peers know more while its
 // own watch waits.
 func TestPeersKnowMore(t *testing.T) {
