--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -112,7 +112,7 @@
 }
 
 // hedge starts a second attempt at another server if that can help.
-func (l *leg) hedge(time.Time) {
+func (l *leg) hedge() {
 	l.due = time.Time{}
 	if l.done || l.inFlight == 0 || !l.mayStart() {
 		return
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -244,7 +244,7 @@
 		switch {
 		case leg.due.IsZero() || now.Before(leg.due):
 		case typical:
-			leg.hedge(now)
+			leg.hedge()
 		default:
 			leg.due = now.Add(max(r.hedgeDelay/recheckPart, minRecheck))
 		}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -345,7 +345,7 @@
 // faults were over.
 func (s *site) check(t *testing.T, settled time.Time) {
 	t.Helper()
-	time.Sleep(time.Second)
+	time.Sleep(lateTime)
 	for _, f := range s.fronts {
 		s.checkNewest(f)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,8 @@
 	// settleTime is how long a run goes on without faults before its end. It is
 	// longer than any promise takes to hold again.
 	settleTime = 8 * time.Second
+	// lateTime is how long requests may still run after the callers have stopped.
+	lateTime = time.Second
 )
 
 // Guards against promises that hold for single faults only: signals, restarts,
