--- a/coordination/bulletin/bulletin_test.go
+++ b/coordination/bulletin/bulletin_test.go
@@ -1,6 +1,7 @@
 package bulletin_test
 
 import (
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,6 +134,8 @@
 		}
 		f.arrange(func(int, *node) {
 			value := f.live[headKey]
+			// Nodes read the map without the lock once they have it.
+			f.live = maps.Clone(f.live)
 			f.live[headKey] = ebonyworks.Value{Key: headKey, Version: value.Version + 1, Bytes: []byte("garbage")}
 		})
 		time.Sleep(time.Minute)
