Share the window of latencies and the walks over servers; drop a loop that did nothing

Read over the change: delay and hedging kept the same two rotating histograms, now coordination/latency. Register and quota collected the servers of a configuration in the same loop, now Configuration.ServerIDs. The directory walks over its servers in one place. The gateway's followLimits claimed to close connections and only called what accept calls for each connection anyway; it is gone. Follower.Tick was a second name of expire. Behavior is the same and no test's expectation changed, but for the name Expire.

--- a/configuration.go
+++ b/configuration.go
@@ -76,6 +76,19 @@
 	return nil, false
 }
 
+// ServerIDs returns the ids of all servers.
+func (c *Configuration) ServerIDs() map[ServerID]bool {
+	ids := make(map[ServerID]bool)
+	for i := range c.Catalogues {
+		for j := range c.Catalogues[i].Services {
+			for _, server := range c.Catalogues[i].Services[j].Servers {
+				ids[server.ID] = true
+			}
+		}
+	}
+	return ids
+}
+
 // RouteKind tells what a route accepts.
 type RouteKind int
 
--- a/coordination/delay/estimator.go
+++ b/coordination/delay/estimator.go
@@ -6,9 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/latency"
 )
 
 const (
@@ -21,7 +20,6 @@
 	median     = 50
 	// minSamples is one fan-out to 20 shards.
 	minSamples = 20
-	window     = 5 * time.Second
 	// refreshInterval bounds how often the percentile is computed.
 	refreshInterval = 100 * time.Millisecond
 	// minDelay is a round trip between the domains that are farthest apart.
@@ -41,10 +39,6 @@
 	overloadSlack = 10 * time.Millisecond
 	// floorTime is how long the smallest median counts at least.
 	floorTime = 30 * time.Second
-
-	unit     = 100 * time.Microsecond
-	maxUnits = int64(10 * time.Second / unit)
-	digits   = 2
 )
 
 // Estimator holds the recent latencies of attempts by route. It is safe for
@@ -53,14 +47,13 @@
 	mutex sync.Mutex
 	// routes has at most MaxRoutes entries.
 	routes map[ebonyworks.RouteID]*route
-	// merged is scratch space to compute percentiles.
-	merged *hdrhistogram.Histogram
+	// distribution is scratch space to compute percentiles.
+	distribution latency.Distribution
 }
 
 type route struct {
-	current, previous *hdrhistogram.Histogram
-	windowEnd         time.Time
-	refresh           time.Time
+	recent  *latency.Window
+	refresh time.Time
 	// usual and high are the median and the percentile; zero if unknown.
 	usual, high time.Duration
 	// floor and lastFloor are the smallest medians of this and the last floorTime.
@@ -70,17 +63,15 @@
 
 // Observe learns the latency of an attempt that was served, or the time after
 // which it was given up.
-func (e *Estimator) Observe(id ebonyworks.RouteID, latency time.Duration) {
+func (e *Estimator) Observe(id ebonyworks.RouteID, took time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	known := e.open(id)
 	if known == nil {
 		return
 	}
-	known.rotate(time.Now())
-	units := min(max(int64(latency/unit), 1), maxUnits)
-	// The value is within the range of the histogram.
-	_ = known.current.RecordValue(units)
+	known.recent.Rotate(time.Now())
+	known.recent.Record(took)
 }
 
 // Delay returns how long to wait for an attempt before a hedge, and false if
@@ -132,7 +123,7 @@
 	if e.routes == nil {
 		e.routes = make(map[ebonyworks.RouteID]*route)
 	}
-	known = &route{current: newHistogram(), previous: newHistogram()}
+	known = &route{recent: latency.NewWindow()}
 	e.routes[id] = known
 	return known
 }
@@ -142,18 +133,13 @@
 		return
 	}
 	known.refresh = now.Add(refreshInterval)
-	known.rotate(now)
-	if known.current.TotalCount()+known.previous.TotalCount() < minSamples {
+	known.recent.Rotate(now)
+	if known.recent.Count() < minSamples {
 		return
 	}
-	if e.merged == nil {
-		e.merged = newHistogram()
-	}
-	e.merged.Reset()
-	e.merged.Merge(known.current)
-	e.merged.Merge(known.previous)
-	known.high = time.Duration(e.merged.ValueAtQuantile(percentile)) * unit
-	known.usual = time.Duration(e.merged.ValueAtQuantile(median)) * unit
+	e.distribution.Load(known.recent)
+	known.high = e.distribution.Percentile(percentile)
+	known.usual = e.distribution.Percentile(median)
 	known.learnFloor(now)
 }
 
@@ -176,23 +162,6 @@
 	return r.usual > overloadFactor*floor && r.usual > floor+overloadSlack
 }
 
-// rotate starts a new window when the current one has ended.
-func (r *route) rotate(now time.Time) {
-	if now.Before(r.windowEnd) {
-		return
-	}
-	if now.After(r.windowEnd.Add(window)) {
-		r.current.Reset()
-	}
-	r.current, r.previous = r.previous, r.current
-	r.current.Reset()
-	r.windowEnd = now.Add(window)
-}
-
 func part(target time.Duration, of float64) time.Duration {
 	return time.Duration(float64(target) * of)
 }
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, maxUnits, digits)
-}
--- a/coordination/hedging/hedging.go
+++ b/coordination/hedging/hedging.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/latency"
 )
 
 const (
@@ -39,14 +38,8 @@
 	// worthwhileFactor is how slow, compared to the delay, the server of a
 	// hedge may be.
 	worthwhileFactor = 3
-	window           = 5 * time.Second
 	// refreshInterval bounds how often the percentile is computed anew.
 	refreshInterval = 100 * time.Millisecond
-	// unit and maxUnits set the histograms' range, 0.1 ms to 10 s, and digits
-	// an error of 1%.
-	unit     = 100 * time.Microsecond
-	maxUnits = int64(10 * time.Second / unit)
-	digits   = 2
 
 	// shedPause is how long a shed reply closes a service for hedges.
 	shedPause = 2 * time.Second
@@ -79,16 +72,15 @@
 	hedges, total int
 	// services has at most MaxServices entries.
 	services map[ebonyworks.ServiceID]*service
-	// merged is scratch space to compute percentiles.
-	merged *hdrhistogram.Histogram
+	// distribution is scratch space to compute percentiles.
+	distribution latency.Distribution
 }
 
 // service is the state of one service.
 type service struct {
-	// current and previous hold the latencies of first attempts and retries.
-	current, previous *hdrhistogram.Histogram
-	windowEnd         time.Time
-	delay             time.Duration
+	// recent holds the latencies of first attempts and retries.
+	recent *latency.Window
+	delay  time.Duration
 	// refresh is when the delay is computed anew.
 	refresh time.Time
 	// shedBy is the server that shed last, and hedgesClosed the end of the
@@ -164,7 +156,7 @@
 		return
 	}
 	now := time.Now()
-	known.rotate(now)
+	known.recent.Rotate(now)
 	switch record.Result {
 	case ebonyworks.AttemptServed:
 		b.earn(record)
@@ -225,7 +217,7 @@
 	if b.services == nil {
 		b.services = make(map[ebonyworks.ServiceID]*service)
 	}
-	known = &service{current: newHistogram(), previous: newHistogram(), delay: initialDelay}
+	known = &service{recent: latency.NewWindow(), delay: initialDelay}
 	b.services[id] = known
 	return known
 }
@@ -234,49 +226,28 @@
 	if now.Before(known.refresh) {
 		return known.delay
 	}
-	known.rotate(now)
+	known.recent.Rotate(now)
 	known.refresh = now.Add(refreshInterval)
-	if known.current.TotalCount()+known.previous.TotalCount() < minSamples {
+	if known.recent.Count() < minSamples {
 		return known.delay
 	}
-	if b.merged == nil {
-		b.merged = newHistogram()
-	}
-	b.merged.Reset()
-	b.merged.Merge(known.current)
-	b.merged.Merge(known.previous)
+	b.distribution.Load(known.recent)
 	missing := 1 - float64(b.hedges)/maxHedges
 	percentile := lowPercentile + (highPercentile-lowPercentile)*missing
-	high := time.Duration(b.merged.ValueAtQuantile(percentile)) * unit
-	usual := time.Duration(b.merged.ValueAtQuantile(median)) * unit
+	high := b.distribution.Percentile(percentile)
+	usual := b.distribution.Percentile(median)
 	bound := time.Duration(medianFactor * float64(usual))
 	known.delay = min(max(min(high, bound), minDelay), maxDelay)
 	return known.delay
 }
 
-// rotate starts a new window when the current one has ended.
-func (s *service) rotate(now time.Time) {
-	if now.Before(s.windowEnd) {
-		return
-	}
-	if now.After(s.windowEnd.Add(window)) {
-		s.current.Reset()
-	}
-	s.current, s.previous = s.previous, s.current
-	s.current.Reset()
-	s.windowEnd = now.Add(window)
-}
-
 // sample counts a latency. Hedges are left out: the delay is about how long a
 // first attempt takes.
 func (s *service) sample(record ebonyworks.AttemptRecord) {
 	if record.Hedge {
 		return
 	}
-	units := min(max(int64(record.Latency/unit), 1), maxUnits)
-	if err := s.current.RecordValue(units); err != nil {
-		return
-	}
+	s.recent.Record(record.Latency)
 }
 
 func (s *service) shed(server ebonyworks.ServerID, now time.Time) {
@@ -286,7 +257,3 @@
 	s.shedBy = server
 	s.hedgesClosed = now.Add(shedPause)
 }
-
-func newHistogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, maxUnits, digits)
-}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -64,15 +64,7 @@
 // Retain drops the state of servers that the configuration no longer names.
 // Attempts in flight at them end as usual.
 func (t *Table) Retain(configuration *ebonyworks.Configuration) {
-	named := make(map[ebonyworks.ServerID]bool)
-	for i := range configuration.Catalogues {
-		for j := range configuration.Catalogues[i].Services {
-			for _, server := range configuration.Catalogues[i].Services[j].Servers {
-				named[server.ID] = true
-			}
-		}
-	}
-	t.RetainServers(named)
+	t.RetainServers(configuration.ServerIDs())
 }
 
 // RetainServers drops the state of servers that aren't named. Attempts in
--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// ReturnTime is how long after the return of the store servers are kept
+	// returnTime is how long after the return of the store servers are kept
 	// whose entries are missing: live servers register again within 2 s.
-	ReturnTime = 2200 * time.Millisecond
+	returnTime = 2200 * time.Millisecond
 	// watchFactor times the time in which changes have to be in force, less
 	// watchMargin, is how long a watch waits for a change. A watch that was sent
 	// while the store was silent is never answered, on all hosts alike. It has to
@@ -171,7 +171,7 @@
 		}
 		f.apply(changes)
 		f.advance(after)
-		f.expire()
+		f.Expire()
 		if recovered || len(changes) >= backlog {
 			continue
 		}
@@ -310,10 +310,8 @@
 		event.Attribute("Routes", strconv.Itoa(len(configuration.Routes))))
 }
 
-// Tick drops the servers whose entries didn't come back after an outage.
-func (f *Follower) Tick() { f.expire() }
-
-func (f *Follower) expire() {
+// Expire drops the servers whose entries didn't come back after an outage.
+func (f *Follower) Expire() {
 	changes := f.Directory.Expire()
 	f.departed(changes)
 	if len(changes) > 0 {
@@ -330,7 +328,7 @@
 	if f.returned.IsZero() {
 		return time.Time{}
 	}
-	return f.returned.Add(ReturnTime)
+	return f.returned.Add(returnTime)
 }
 
 func (f *Follower) succeeded() {
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -164,7 +164,7 @@
 }
 
 func usable(follower *registry.Follower, id string) bool {
-	follower.Tick()
+	follower.Expire()
 	return follower.Directory.Servers()[ebonyworks.ServerID(id)]
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 			return
 		case <-ticker.C:
 			g.learnFleet()
-			g.follower.Tick()
+			g.follower.Expire()
 			g.retainConnections()
 		}
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -30,8 +30,6 @@
 	// names limits.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
-	// limitInterval is how often the limits are compared to those in force.
-	limitInterval = time.Second
 )
 
 // Server serves a gateway on its addresses. Its fields are set before Run.
@@ -83,7 +81,7 @@
 	defer stop()
 	go s.Gateway.Run(running)
 	go s.accept(callers)
-	s.followLimits(ctx)
+	<-ctx.Done()
 	s.stop(callers)
 	return nil
 }
@@ -160,21 +158,6 @@
 	}()
 }
 
-// followLimits closes the kept connections of servers whose limits are no
-// longer in force, until the context ends.
-func (s *Server) followLimits(ctx context.Context) {
-	ticker := time.NewTicker(limitInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.server()
-		}
-	}
-}
-
 // stop ends the process's work within the grace time.
 func (s *Server) stop(callers net.Listener) {
 	begin := time.Now()
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 	"strings"
@@ -190,10 +191,8 @@
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
 	servers := make(map[ebonyworks.ServerID]bool, len(d.servers))
-	for _, service := range d.services {
-		for _, server := range service.Servers {
-			servers[server.ID] = true
-		}
+	for server := range d.inUse() {
+		servers[server.ID] = true
 	}
 	return servers
 }
@@ -203,14 +202,25 @@
 	d.mutex.RLock()
 	defer d.mutex.RUnlock()
 	addresses := make(map[netip.AddrPort]bool, len(d.servers))
-	for _, service := range d.services {
-		for _, server := range service.Servers {
-			addresses[server.Address] = true
-		}
+	for server := range d.inUse() {
+		addresses[server.Address] = true
 	}
 	return addresses
 }
 
+// inUse walks over the servers in use of all services.
+func (d *Directory) inUse() iter.Seq[ebonyworks.Server] {
+	return func(yield func(ebonyworks.Server) bool) {
+		for _, service := range d.services {
+			for _, server := range service.Servers {
+				if !yield(server) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (d *Directory) drop(id ebonyworks.ServerID, known *entry) Change {
 	delete(d.servers, id)
 	d.rebuild(known.registration.Service)
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -177,15 +177,7 @@
 // Retain drops the records of servers that the configuration no longer names.
 // Servers that a later configuration adds start slowly.
 func (r *Register) Retain(configuration *ebonyworks.Configuration) {
-	named := make(map[ebonyworks.ServerID]bool)
-	for i := range configuration.Catalogues {
-		for j := range configuration.Catalogues[i].Services {
-			for _, server := range configuration.Catalogues[i].Services[j].Servers {
-				named[server.ID] = true
-			}
-		}
-	}
-	r.RetainServers(named)
+	r.RetainServers(configuration.ServerIDs())
 }
 
 // RetainServers drops the records of servers that aren't named. Servers that a
