Make an attempt that was withheld once its search is proven safe

The attempt was rightly not sent, but its server counted as asked, so no server was left when another shard proved the search safe. A withheld attempt gives its server back, waits for the proof and isn't charged twice; hedges aren't decided while the search is withheld.

--- a/coordination/search/attempt.go
+++ b/coordination/search/attempt.go
@@ -43,7 +43,7 @@
 	}
 	if !a.stillAllowed() {
 		permit.Release(record)
-		return a.miss(ebonyworks.MissServerLost), record
+		return shardResult{shard: a.shard.shard.ID, reason: ebonyworks.MissServerLost, withheld: true}, record
 	}
 	span.AddEvent("sent")
 	start := time.Now()
@@ -72,8 +72,7 @@
 	if a.trial {
 		return inspection.StillAllowed(a.run.request.fingerprint, ebonyworks.Trial{Shard: a.shard.shard.ID, Server: a.server})
 	}
-	verdict, _ := inspection.Inspect(a.run.request.fingerprint)
-	return verdict != ebonyworks.RunNone
+	return !a.run.isWithheld()
 }
 
 func (a attempt) subSearch() ebonyworks.SubSearch {
--- a/coordination/search/run.go
+++ b/coordination/search/run.go
@@ -36,6 +36,9 @@
 	covered bool
 	rows    []ebonyworks.Row
 	reason  ebonyworks.MissReason
+	// withheld is set if the attempt wasn't sent because of deaths under the
+	// request.
+	withheld bool
 }
 
 func newRun(coordinator *Coordinator, request request, plan plan) *run {
@@ -153,6 +156,13 @@
 	}
 }
 
+// isWithheld reports whether attempts have to wait for proof that the request is
+// safe.
+func (r *run) isWithheld() bool {
+	verdict, _ := r.coordinator.Inspection.Inspect(r.request.fingerprint)
+	return verdict == ebonyworks.RunNone
+}
+
 // withdrawProof counts one shard less that could prove the request safe.
 func (r *run) withdrawProof() {
 	if r.unproven.Add(-1) == 0 {
--- a/coordination/search/shard.go
+++ b/coordination/search/shard.go
@@ -86,7 +86,13 @@
 			}
 			s.lost = s.lost || end.record.Result == ebonyworks.AttemptLost
 			s.reason = end.result.reason
-			s.retry(ctx, end.record)
+			if !end.result.withheld {
+				s.retry(ctx, end.record)
+				continue
+			}
+			if again := s.resume(ctx, end.record); again > 0 {
+				hedge.Reset(again)
+			}
 		case <-hedge.C:
 			if again := s.hedge(ctx); again > 0 {
 				hedge.Reset(again)
@@ -118,8 +124,8 @@
 	if !ok || !hedging.Worthwhile(delay, candidate) {
 		return 0
 	}
-	if candidate.InFlight >= candidate.Limit {
-		return max(delay/hedgeRechecks, minRecheck)
+	if candidate.InFlight >= candidate.Limit || s.run.isWithheld() {
+		return recheck(delay)
 	}
 	if policy.AllowHedge(s.shard.service.ID) {
 		s.start(ctx, candidate, true, false)
@@ -127,6 +133,25 @@
 	return 0
 }
 
+func recheck(delay time.Duration) time.Duration { return max(delay/hedgeRechecks, minRecheck) }
+
+// resume makes an attempt that wasn't sent because of deaths under the request,
+// once the request is proven safe. The budget was charged when it was decided.
+// While another attempt is in flight it returns when to look again instead.
+func (s *shardRun) resume(ctx context.Context, withheld ebonyworks.AttemptRecord) time.Duration {
+	s.asked = slices.DeleteFunc(s.asked, func(id ebonyworks.ServerID) bool { return id == withheld.Server })
+	if s.inFlight > 0 {
+		return recheck(s.run.coordinator.Hedging.Delay(s.shard.service.ID))
+	}
+	if ctx.Err() != nil || !s.provenSafe(ctx) {
+		return 0
+	}
+	if candidate, ok := s.choose(); ok {
+		s.start(ctx, candidate, withheld.Hedge, withheld.Retry)
+	}
+	return 0
+}
+
 // retry starts another attempt after a failed one if nothing else is in flight.
 func (s *shardRun) retry(ctx context.Context, failed ebonyworks.AttemptRecord) {
 	if s.inFlight > 0 || ctx.Err() != nil || len(s.remaining()) == 0 {
