Finish delegated requests before a planned stop ends

Cause: Server.stop shut down the callers' listeners only. A request that a smaller host had delegated and that ran for longer than the 2.3 s of notice was cut when the process ended, and the smaller host ran it again. Ruled out: new delegated requests during the notice (HandleForward turns them down), the grace time (the stop ended 3.5 s before it). Before: TestPlannedStopFinishesDelegatedRequests fails, Run returns after 2.3 s with a request of 3 s in flight. After: it passes, the stop takes 2.8 s.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -30,6 +30,7 @@
 	host    *gateway.Gateway
 	address string
 	ready   string
+	peers   netip.AddrPort
 	work    atomic.Int64
 	stop    context.CancelFunc
 	stopped chan error
@@ -86,6 +87,7 @@
 		Revision: 1,
 		Routes: []ebonyworks.ForwardRoute{
 			{ID: "all", Host: "h.example", Prefix: "/all/", Idempotent: true, Timeout: time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2, Shards: []ebonyworks.ServiceID{"x", "y"}, TopRecords: 5, MinCoverage: 0.75},
+			{ID: "long", Host: "h.example", Prefix: "/long/", Idempotent: true, Timeout: 5 * time.Second, TargetLatency: 4 * time.Second, MaxAttempts: 2, Backends: []ebonyworks.WeightedService{{Service: "x", Weight: 1}}},
 			{ID: "one", Host: "h.example", Prefix: "/one/", Timeout: 5 * time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2, Backends: []ebonyworks.WeightedService{{Service: "x", Weight: 1}}},
 		},
 		Services: []ebonyworks.ForwardService{{ID: "x", ConnectionCap: 26}, {ID: "y", ConnectionCap: 26}},
@@ -97,6 +99,7 @@
 		}})
 	}
 	peers := freeAddress(t)
+	s.peers = peers
 	servers := &platform.Servers{}
 	s.host = gateway.New(gateway.Options{
 		Self: ebonyworks.Host{ID: "host", Address: peers}, Store: fixedStore{listing}, Backend: servers, Connections: servers, Peer: courier.NewClient(nil),
@@ -228,3 +231,33 @@
 	assert.Zero(t, broken.Load())
 	assert.Greater(t, served.Load(), int64(8))
 }
+
+// Guards against a delegated request that is cut when its host stops as planned:
+// the process ends once Run returns.
+func TestPlannedStopFinishesDelegatedRequests(t *testing.T) {
+	s := newSite(t)
+	s.work.Store(int64(3 * time.Second))
+	type result struct {
+		reply    ebonyworks.ForwardReply
+		delivery ebonyworks.Delivery
+	}
+	replies := make(chan result, 1)
+	go func() {
+		request := &ebonyworks.ForwardRequest{
+			ID: "9c41d07be2a35f68", Method: http.MethodGet, Host: "h.example", Target: "/long/1",
+			Patience: 4 * time.Second, Arrival: time.Now(),
+		}
+		reply, delivery := courier.NewClient(nil).Forward(context.Background(), ebonyworks.Host{ID: "host", Address: s.peers}, request, 1)
+		replies <- result{reply, delivery}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	s.stop()
+	require.NoError(t, <-s.stopped)
+	select {
+	case got := <-replies:
+		assert.Equal(t, ebonyworks.Delivered, got.delivery)
+		assert.Equal(t, ebonyworks.ReplyRelayed, got.reply.Kind)
+	default:
+		t.Fatal("the host stopped before the delegated request ended")
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,6 +44,9 @@
 	Grace    time.Duration
 	Recorder ebonyworks.Recorder
 
+	// delegated serves the other hosts; nil without an address for them.
+	delegated *courier.Server
+
 	mutex   sync.Mutex
 	current *http.Server
 	limits  ebonyworks.CallerLimits
@@ -73,7 +76,8 @@
 		if err != nil {
 			return errors.Wrap(err, "listen for peers")
 		}
-		s.servePeers(peers)
+		s.delegated = courier.NewServer(s.Gateway)
+		go s.servePeers(peers)
 	}
 	s.serve(&http.Server{Handler: s.ReadinessHandler, ReadHeaderTimeout: defaultHeaderTimeout}, readiness)
 	s.record(event.ProcessStarted, event.Attribute("Callers", s.Callers.String()))
@@ -150,12 +154,9 @@
 }
 
 func (s *Server) servePeers(listener net.Listener) {
-	server := courier.NewServer(s.Gateway)
-	go func() {
-		if err := server.Serve(listener); err != nil {
-			s.record(event.AcceptFailed, event.Attribute("Error", err.Error()))
-		}
-	}()
+	if err := s.delegated.Serve(listener); err != nil {
+		s.record(event.AcceptFailed, event.Attribute("Error", err.Error()))
+	}
 }
 
 // stop ends the process's work within the grace time.
@@ -188,6 +189,12 @@
 	}
 	draining.Wait()
 	s.Gateway.Leave(ctx)
+	if s.delegated != nil {
+		// Requests that smaller hosts delegated before the stop are in flight.
+		if err := s.delegated.Shutdown(ctx); err != nil {
+			s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
+		}
+	}
 	s.record(event.ProcessStopped, event.Attribute("Elapsed", time.Since(begin).String()))
 }
 
