Take on whole requests by the wait for permits against the target latency

Cause: a leg was refused once its predicted wait didn't fit before the deadline, and legs were refused one by one. In a burst every queue grew to the deadline: all answers were late although the servers were busy all the time, and requests whose other legs had started already ended with 502 instead of a refusal. Ruled out: the servers' capacity (417 gathered requests a second without pauses, 330 served), hedges (closed by the median above its floor), processor time of the hosts (7% of a core). Now all legs are predicted before any is started. A request is turned away at once, with nothing sent, unless enough legs wait less than half of the time left to the target, or less than the work itself takes without a queue. Left: the less urgent kind is served more often than the urgent one.

--- a/coordination/delay/estimator.go
+++ b/coordination/delay/estimator.go
@@ -92,16 +92,17 @@
 	return max(min(known.high, bound), minDelay), !known.overloaded()
 }
 
-// Usual returns the median latency of the route's attempts, or zero.
-func (e *Estimator) Usual(id ebonyworks.RouteID) time.Duration {
+// Usual returns the median latency of the route's attempts, and the smallest
+// one of the last minute, which is that without queues. Both are zero if unknown.
+func (e *Estimator) Usual(id ebonyworks.RouteID) (usual, unloaded time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	known := e.routes[id]
 	if known == nil {
-		return 0
+		return 0, 0
 	}
 	e.update(known, time.Now())
-	return known.usual
+	return known.usual, known.smallest()
 }
 
 // Retain drops the state of routes that aren't named.
@@ -154,11 +155,16 @@
 	}
 }
 
-func (r *route) overloaded() bool {
-	floor := r.floor
+// smallest returns the smallest median of this and the last floorTime.
+func (r *route) smallest() time.Duration {
 	if r.lastFloor > 0 {
-		floor = min(floor, r.lastFloor)
+		return min(r.floor, r.lastFloor)
 	}
+	return r.floor
+}
+
+func (r *route) overloaded() bool {
+	floor := r.smallest()
 	return r.usual > overloadFactor*floor && r.usual > floor+overloadSlack
 }
 
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -46,8 +46,9 @@
 	// Delay returns how long to wait for an attempt before a hedge, and false
 	// if hedges would add to an overload.
 	Delay(route ebonyworks.RouteID, target time.Duration) (time.Duration, bool)
-	// Usual returns the median latency of attempts, zero if unknown.
-	Usual(route ebonyworks.RouteID) time.Duration
+	// Usual returns the recent median latency of attempts, and that without
+	// queues; zero if unknown.
+	Usual(route ebonyworks.RouteID) (usual, unloaded time.Duration)
 	// Observe learns the latency of an attempt.
 	Observe(route ebonyworks.RouteID, latency time.Duration)
 }
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -35,8 +35,11 @@
 	// crash servers.
 	deferred bool
 	last     ebonyworks.AttemptResult
-	// wait is the predicted wait for a permit if the leg was refused because of
-	// it.
+	// offered are the servers that may get the first attempt, and first the
+	// index of the one that was chosen.
+	offered []ebonyworks.Candidate
+	first   int
+	// wait is the predicted wait of the first attempt for its permit.
 	wait time.Duration
 	// starved is set if a repeat was needed and not allowed.
 	starved bool
@@ -48,7 +51,7 @@
 	switch {
 	case l.view == nil:
 		return "no server of service " + string(l.id) + " is known"
-	case l.wait > 0:
+	case l.started == 0 && l.wait > 0:
 		return "service " + string(l.id) + " is overloaded: a request would wait for " + l.wait.Round(time.Millisecond).String()
 	case l.started == 0 && l.starved:
 		return "the repeat budget of service " + string(l.id) + " is used up"
@@ -68,34 +71,41 @@
 // probeReserve is the number of repeats that a probe leaves for hedges.
 const probeReserve = 2
 
-// startFirst starts the first attempt, and a copy of the request at a server
-// that needs a probe.
-func (l *leg) startFirst(now time.Time) {
+// prepare chooses the server of the first attempt and predicts the wait for its
+// permit. It returns false if the leg can't be expected to respond in time.
+func (l *leg) prepare(tolerated time.Duration) bool {
 	if l.view == nil {
-		return
+		return false
 	}
-	candidates := l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
-	index, ok := l.run.forwarder.Selection.Select(candidates)
+	l.offered = l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
+	index, ok := l.run.forwarder.Selection.Select(l.offered)
 	if !ok {
-		return
+		l.offered = nil
+		return false
 	}
-	wait := l.run.forwarder.Quota.PredictedWait(candidates[index].Server.ID)
-	if !fitsBefore(l.run.deadline, now, wait, l.run.usual) {
-		l.wait = wait
+	l.first = index
+	l.wait = l.run.forwarder.Quota.PredictedWait(l.offered[index].Server.ID)
+	return l.wait == 0 || l.wait <= tolerated
+}
+
+// startFirst starts the first attempt that prepare chose, and a copy of the
+// request at a server that needs a probe.
+func (l *leg) startFirst(now time.Time) {
+	if len(l.offered) == 0 {
 		return
 	}
 	if l.run.repeat && !l.run.forwarder.Repeats.Take(l.id) {
 		l.starved = true
 		return
 	}
-	l.start(candidates[index], attemptFirst, l.run.repeat)
+	l.start(l.offered[l.first], attemptFirst, l.run.repeat)
 	l.scheduleHedge(now)
-	for i := range candidates {
-		if i == index || !candidates[i].Probe || !l.mayStart() {
+	for i := range l.offered {
+		if i == l.first || !l.offered[i].Probe || !l.mayStart() {
 			continue
 		}
 		if l.run.forwarder.Repeats.Left(l.id) > probeReserve && l.run.forwarder.Repeats.Take(l.id) {
-			l.start(candidates[i], attemptProbe, true)
+			l.start(l.offered[i], attemptProbe, true)
 		}
 	}
 }
--- /dev/null
+++ b/coordination/fanout/overload_test.go
@@ -0,0 +1,199 @@
+package fanout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
+	"github.com/ebonyworks/ebonyworks/coordination/delay"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/coordination/quota"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+const (
+	// fleetHosts share the servers.
+	fleetHosts = 4
+	// serverSlots and serverQueue are those of each server.
+	serverSlots = 2
+	serverQueue = 12
+	// longWork and shortWork are the mean work of the routes /all/ and /quick/.
+	longWork  = 11 * time.Millisecond
+	shortWork = 4 * time.Millisecond
+)
+
+// slotServer has two slots and a queue, and sheds what doesn't fit.
+type slotServer struct {
+	slots  chan struct{}
+	queued int
+}
+
+// fleet is several hosts in front of servers with slots.
+type fleet struct {
+	*world
+	hosts   []*fanout.Forwarder
+	servers map[ebonyworks.ServerID]*slotServer
+	random  *rand.Rand
+	// ran holds the requests that a server began to run.
+	ran map[ebonyworks.RequestID]bool
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{world: newWorld(t), servers: make(map[ebonyworks.ServerID]*slotServer), random: rand.New(rand.NewPCG(3, 4)), ran: make(map[ebonyworks.RequestID]bool)}
+	for i := range shardCount {
+		for _, replica := range []string{"a", "b"} {
+			f.servers[server(i, replica)] = &slotServer{slots: make(chan struct{}, serverSlots)}
+		}
+	}
+	for i := range uint64(fleetHosts) {
+		known := servers{register: &register.Register{ProbeByRequest: true}, quota: quota.NewExclusive(fleetHosts)}
+		f.hosts = append(f.hosts, &fanout.Forwarder{
+			Table: f.Table, Directory: f.directory, Servers: known, Quota: known.quota, Backend: f, Inspection: f.inspector, Observer: f.world,
+			Selection: selection.New(rand.New(rand.NewPCG(i, 5))),
+			Repeats:   allowance.New(repeatBound, fleetHosts),
+			Delays:    &delay.Estimator{},
+		})
+	}
+	return f
+}
+
+// Send runs the request in a slot of the server.
+func (f *fleet) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	f.mutex.Lock()
+	target := f.servers[to.ID]
+	if target.queued >= serverQueue {
+		f.mutex.Unlock()
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed}
+	}
+	target.queued++
+	mean := longWork
+	if request.Target[:3] == "/qu" {
+		mean = shortWork
+	}
+	work := time.Duration((0.5 + f.random.Float64()) * float64(mean))
+	f.mutex.Unlock()
+	select {
+	case target.slots <- struct{}{}:
+	case <-ctx.Done():
+		f.leaveQueue(target, "")
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptCancelled}
+	}
+	defer func() { <-target.slots }()
+	f.leaveQueue(target, request.ID)
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptTimeout}
+	}
+	return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptServed, Response: ebonyworks.ServerResponse{Status: 200, Signature: "of-" + string(to.ID), Body: make([]byte, 16)}}
+}
+
+// leaveQueue takes a request off the queue; it runs unless the id is empty.
+func (f *fleet) leaveQueue(target *slotServer, id ebonyworks.RequestID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	target.queued--
+	if id != "" {
+		f.ran[id] = true
+	}
+}
+
+// tally counts the ends of requests.
+type tally struct {
+	asked, inTime, late, refused, slowlyRefused, failed int
+}
+
+func (t *tally) add(kind ebonyworks.ReplyKind, elapsed, aim time.Duration) {
+	t.asked++
+	switch {
+	case kind == ebonyworks.ReplyMerged && elapsed <= aim:
+		t.inTime++
+	case kind == ebonyworks.ReplyMerged:
+		t.late++
+	case kind == ebonyworks.ReplyRefused:
+		t.refused++
+		if elapsed > aim/4 {
+			t.slowlyRefused++
+		}
+	default:
+		t.failed++
+	}
+}
+
+// load sends requests to /all/ and a third as many to /quick/ for a while, and
+// returns how they ended.
+func (f *fleet) load(perSecond int, duration time.Duration) (long, short *tally) {
+	long, short = &tally{}, &tally{}
+	var asking sync.WaitGroup
+	interval := time.Second / time.Duration(perSecond)
+	refused := make(map[ebonyworks.RequestID]bool)
+	for i := range int(duration / interval) {
+		time.Sleep(interval)
+		path, aim, patience, of := "/all/", target, timeout, long
+		if i%4 == 3 {
+			path, aim, patience, of = "/quick/", target/2, timeout/2, short
+		}
+		asking.Go(func() {
+			begin := time.Now()
+			id := ebonyworks.RequestID(fmt.Sprint(path, perSecond, i))
+			reply := f.hosts[i%fleetHosts].Forward(context.Background(), &ebonyworks.ForwardRequest{ID: id, Host: "h", Method: "GET", Target: string(id), Arrival: begin, Patience: patience})
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			of.add(reply.Kind, time.Since(begin), aim)
+			if reply.Kind == ebonyworks.ReplyRefused {
+				refused[id] = true
+			}
+		})
+	}
+	asking.Wait()
+	time.Sleep(time.Second)
+	for id := range refused {
+		if f.ran[id] {
+			long.failed += long.asked
+		}
+	}
+	return long, short
+}
+
+// Guards against a queue that makes every answer late: five times as many
+// requests arrive as on a calm day, and twice as many as the servers can finish.
+// A queue that is bounded by the deadline only would delay all of them to it.
+func TestBurstIsServedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		long, short := f.load(120, 5*time.Second)
+		t.Logf("calm: %+v %+v", *long, *short)
+		assert.Greater(t, long.inTime, long.asked*9/10)
+		const perSecond = 800
+		long, short = f.load(perSecond, 5*time.Second)
+		t.Logf("burst: %+v %+v", *long, *short)
+		// In the time of four requests of which one is short, a shard with four
+		// slots finishes four.
+		mean := (3*longWork + shortWork) / 4
+		capacity := int(5 * time.Second / mean * 2 * serverSlots)
+		assert.Greater(t, long.inTime+short.inTime, capacity/2, "half of what the servers can finish arrives in time")
+		assert.Less(t, long.late+short.late, (long.inTime+short.inTime)/4)
+		assert.Less(t, long.slowlyRefused+short.slowlyRefused, (long.refused+short.refused)/20, "what can't be served is refused at once")
+		assert.Less(t, long.failed+short.failed, (long.asked+short.asked)/50)
+		// Neither kind of request starves.
+		assert.Greater(t, long.inTime*short.asked, short.inTime*long.asked*19/20, "the urgent kind is served as often as the other")
+		assert.Greater(t, short.inTime, short.asked/10)
+		time.Sleep(5 * time.Second)
+		long, short = f.load(120, 5*time.Second)
+		t.Logf("after: %+v %+v", *long, *short)
+		assert.Greater(t, long.inTime, long.asked*9/10)
+		time.Sleep(time.Minute)
+	})
+}
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -60,8 +60,9 @@
 	repeat     bool
 	hedgeDelay time.Duration
 	mayHedge   bool
-	// usual is the median latency of the route's attempts, zero if unknown.
-	usual time.Duration
+	// usual is the median latency of the route's attempts, and unloaded that
+	// without queues; zero if unknown.
+	usual, unloaded time.Duration
 }
 
 func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, relayed bool) *run {
@@ -109,13 +110,16 @@
 	if reply, refused := r.inspect(); refused {
 		return reply
 	}
-	r.usual = r.forwarder.Delays.Usual(r.route.ID)
+	r.usual, r.unloaded = r.forwarder.Delays.Usual(r.route.ID)
 	latest := r.deadline.Add(-max(minServerTime, min(r.usual, r.deadline.Sub(r.request.Arrival)/2)))
 	r.waiting, r.stopWait = context.WithDeadline(context.WithoutCancel(ctx), latest)
 	r.sending, r.stopSend = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.release()
 	defer r.judge()
 	now := time.Now()
+	if !r.admit(now) {
+		return r.unanswered(now)
+	}
 	r.hedgeDelay, r.mayHedge = r.forwarder.Delays.Delay(r.route.ID, r.route.TargetLatency)
 	for _, leg := range r.legs {
 		if !r.repeat {
@@ -154,6 +158,20 @@
 	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: refusal.Message, RetryAfter: blockedRetryAfter}, true
 }
 
+// admit chooses the servers of the first attempts, and reports whether enough of
+// them can be expected to respond in time. Nothing is sent before that, so a
+// request that is turned away has not run.
+func (r *run) admit(now time.Time) bool {
+	tolerated := queueing{target: r.seal.early, deadline: r.deadline, usual: r.usual, unloaded: r.unloaded}.tolerated(now)
+	expected := 0
+	for _, leg := range r.legs {
+		if leg.prepare(tolerated) {
+			expected++
+		}
+	}
+	return expected >= r.seal.needed
+}
+
 // judge records the servers that went away under a request that no server has
 // completed. A request that was completed didn't crash them.
 func (r *run) judge() {
@@ -332,7 +350,7 @@
 	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: r.reason()}
 }
 
-// longestWait returns the longest predicted wait of the legs that were refused.
+// longestWait returns the longest predicted wait of the legs.
 func (r *run) longestWait() time.Duration {
 	var longest time.Duration
 	for _, leg := range r.legs {
@@ -352,12 +370,17 @@
 	return true
 }
 
-// reason returns the reason of the first leg without a response.
+// reason returns the reason of the first leg without a response, or of the one
+// with the longest wait if nothing was started.
 func (r *run) reason() string {
+	var cause *leg
 	for _, leg := range r.legs {
-		if !leg.done {
-			return leg.reason()
+		if !leg.done && (cause == nil || leg.started == 0 && leg.wait > cause.wait) {
+			cause = leg
 		}
 	}
-	return ""
+	if cause == nil {
+		return ""
+	}
+	return cause.reason()
 }
--- a/coordination/fanout/world_test.go
+++ b/coordination/fanout/world_test.go
@@ -104,7 +104,7 @@
 	}
 	one := []ebonyworks.WeightedService{{Service: shard(0), Weight: 1}}
 	quick := all
-	quick.ID, quick.Prefix, quick.TargetLatency = "quick", "/quick/", target/2
+	quick.ID, quick.Prefix, quick.TargetLatency, quick.Priority = "quick", "/quick/", target/2, 1
 	configuration.Routes = []ebonyworks.ForwardRoute{
 		all,
 		quick,
