Let less urgent requests yield in overload; queue to the deadline where no target can be met

Priorities of routes weren't used at all. Hosts now compare which share of each priority they turned away at a service. A less urgent request yields while more urgent ones are turned away more often and over a fifth of its legs would wait; neither kind starves. Retry-After grows with the share of refusals, as for searches (one copy: package pressure). Ruled out: yielding from half of the legs (no effect: admission itself keeps most legs free of waits), yielding always (a few broken shards would cost kinds that can do without them).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -125,7 +125,7 @@
 	case settling.state == admitted && gone:
 		through.abandon(settling, now)
 	case settling.state == admitted:
-		through.press(now, 0)
+		through.pressure.Add(now, false)
 		return &admittance{gate: g, waiter: settling}, nil
 	}
 	if gone {
@@ -149,8 +149,8 @@
 
 // refuseIn refuses a request because of the load of its route.
 func (g *Gate) refuseIn(through *lane, now time.Time) *ebonyworks.Refusal {
-	through.press(now, 1)
-	return g.refuse(through.limit.Mean(), through.pressure)
+	through.pressure.Add(now, true)
+	return g.refuse(through.limit.Mean(), through.pressure.Value(now))
 }
 
 // refuse returns a refusal whose retry-after time starts from the time of one
--- a/coordination/admission/lane.go
+++ b/coordination/admission/lane.go
@@ -7,6 +7,7 @@
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/gradient"
+	"github.com/ebonyworks/ebonyworks/coordination/pressure"
 )
 
 const (
@@ -23,10 +24,6 @@
 	interval = 100 * time.Millisecond
 	// target is the longest wait while a queue stands.
 	target = 20 * time.Millisecond
-	// pressureWeight is the weight of one decision in the refused share, and
-	// pressureDecay the time in which the share falls to 1/e without traffic.
-	pressureWeight = 0.02
-	pressureDecay  = 2 * time.Second
 )
 
 // waiterState tells what was decided on a waiter.
@@ -82,9 +79,8 @@
 	// that come back start from it and can't claim capacity that they left
 	// unused.
 	virtual time.Duration
-	// pressure is the recent share of refused requests, from 0 to 1.
-	pressure   float64
-	pressureAt time.Time
+	// pressure is the recent share of refused requests.
+	pressure pressure.Share
 }
 
 func newLane() *lane {
@@ -148,13 +144,6 @@
 	return time.Duration(ahead+1) * l.slotTime()
 }
 
-// press updates the refused share with one decision.
-func (l *lane) press(now time.Time, refused float64) {
-	decay := math.Exp(-float64(now.Sub(l.pressureAt)) / float64(pressureDecay))
-	l.pressure = l.pressure*decay*(1-pressureWeight) + refused*pressureWeight
-	l.pressureAt = now
-}
-
 // pushOut makes room by refusing the newest request of the house with the
 // longest queue. It returns false if that is the arriving house itself.
 func (l *lane) pushOut(arriving ebonyworks.HouseID, now time.Time) bool {
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -60,6 +60,16 @@
 	PredictedWait(server ebonyworks.ServerID) time.Duration
 }
 
+// Precedence compares how often requests of each priority are turned away.
+type Precedence interface {
+	// Count counts a request that was taken on, or turned away because of load.
+	Count(service ebonyworks.ServiceID, priority int, turnedAway bool)
+	// Refused returns the recent share of the requests that were turned away.
+	Refused(service ebonyworks.ServiceID, priority int) float64
+	// Yields reports whether more urgent requests are turned away more often.
+	Yields(service ebonyworks.ServiceID, priority int) bool
+}
+
 // Observer receives the end of each request and attempt. It doesn't block.
 type Observer interface {
 	// AttemptEnded is called once for each attempt.
@@ -88,6 +98,7 @@
 	Quota      Quota
 	Repeats    Repeats
 	Delays     Delays
+	Precedence Precedence
 	Backend    ebonyworks.ForwardBackend
 	Inspection ebonyworks.Inspection
 	Observer   Observer
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -14,6 +14,13 @@
 	minRetryAfter = 100 * time.Millisecond
 	// maxRetryAfter is in the order of the restart of a server.
 	maxRetryAfter = 5 * time.Second
+	// maxRefused bounds the growth of the time by the share of refusals to a
+	// factor of 4. With more, the callers of a short overload stay away for long
+	// after its end.
+	maxRefused = 0.75
+	// contendedPart is the part of the legs above which waits are due to load. It
+	// is above the part that answers may lack by the usual bounds of coverage.
+	contendedPart = 0.2
 	// queuePart is the part of the time left until the target latency that an
 	// attempt may be predicted to wait. The slowest of many legs takes about
 	// twice as long as the usual one.
@@ -34,18 +41,31 @@
 }
 
 // tolerated returns the longest predicted wait with which an attempt starts. A
-// wait that is no longer than the work itself is tolerated, since servers
-// that are slow without a queue would otherwise get no work.
+// wait that is no longer than the work itself is tolerated. Where the work takes
+// longer than the target latency, or isn't known, only the deadline counts:
+// callers then prefer a late answer to none.
 func (q queueing) tolerated(now time.Time) time.Duration {
-	inTime := time.Duration(queuePart * float64(q.target.Sub(now)-q.usual))
-	return min(max(inTime, q.unloaded), q.deadline.Sub(now)-q.usual)
+	latest := q.deadline.Sub(now) - q.usual
+	left := q.target.Sub(now)
+	if q.unloaded == 0 || q.unloaded >= left {
+		return latest
+	}
+	return min(max(time.Duration(queuePart*float64(left-q.usual)), q.unloaded), latest)
+}
+
+// contended reports whether so many legs would wait for a permit that the hosts'
+// load is the cause. A few shards that fall behind are a fault of theirs, and
+// turning away less urgent requests wouldn't help the urgent ones.
+func contended(waiting, total int) bool {
+	return float64(waiting) > contendedPart*float64(total)
 }
 
 // retryAfter returns when a refused caller should come back: after the queue
-// that it would have to wait for, spread by half in both directions, since
-// callers that are refused together would return together.
-func retryAfter(request ebonyworks.RequestID, wait time.Duration) time.Duration {
-	base := min(max(wait, minRetryAfter), maxRetryAfter)
+// that it would have to wait for, and later the more callers are refused, since
+// each that comes back too early adds to the load. The time is spread by half in
+// both directions: callers that are refused together would return together.
+func retryAfter(request ebonyworks.RequestID, wait time.Duration, refused float64) time.Duration {
+	base := float64(max(wait, minRetryAfter)) / (1 - min(refused, maxRefused))
 	part := float64(xxhash.Sum64String(string(request))%1000) / 1000
-	return time.Duration((0.5 + part) * float64(base))
+	return min(time.Duration((0.5+part)*base), maxRetryAfter)
 }
--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -15,6 +15,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/allowance"
 	"github.com/ebonyworks/ebonyworks/coordination/delay"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/coordination/precedence"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/coordination/selection"
 	"github.com/ebonyworks/ebonyworks/state/register"
@@ -59,9 +60,10 @@
 		known := servers{register: &register.Register{ProbeByRequest: true}, quota: quota.NewExclusive(fleetHosts)}
 		f.hosts = append(f.hosts, &fanout.Forwarder{
 			Table: f.Table, Directory: f.directory, Servers: known, Quota: known.quota, Backend: f, Inspection: f.inspector, Observer: f.world,
-			Selection: selection.New(rand.New(rand.NewPCG(i, 5))),
-			Repeats:   allowance.New(repeatBound, fleetHosts),
-			Delays:    &delay.Estimator{},
+			Selection:  selection.New(rand.New(rand.NewPCG(i, 5))),
+			Repeats:    allowance.New(repeatBound, fleetHosts),
+			Delays:     &delay.Estimator{},
+			Precedence: &precedence.Balance{},
 		})
 	}
 	return f
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -57,7 +57,9 @@
 	proven   bool
 	// repeat is set if another host may have run the request, so that all
 	// attempts are repeats.
-	repeat     bool
+	repeat bool
+	// yielded is set if the request was turned away in favor of more urgent ones.
+	yielded    bool
 	hedgeDelay time.Duration
 	mayHedge   bool
 	// usual is the median latency of the route's attempts, and unloaded that
@@ -163,13 +165,23 @@
 // request that is turned away has not run.
 func (r *run) admit(now time.Time) bool {
 	tolerated := queueing{target: r.seal.early, deadline: r.deadline, usual: r.usual, unloaded: r.unloaded}.tolerated(now)
-	expected := 0
+	expected, waiting := 0, 0
 	for _, leg := range r.legs {
 		if leg.prepare(tolerated) {
 			expected++
 		}
+		if leg.wait > 0 {
+			waiting++
+		}
+	}
+	taken := expected >= r.seal.needed
+	service, precedence := r.legs[0].id, r.forwarder.Precedence
+	if taken && contended(waiting, len(r.legs)) && precedence.Yields(service, r.route.Priority) {
+		r.yielded = true
+		taken = false
 	}
-	return expected >= r.seal.needed
+	precedence.Count(service, r.route.Priority, !taken && waiting > 0)
+	return taken
 }
 
 // judge records the servers that went away under a request that no server has
@@ -342,7 +354,7 @@
 // request didn't run only if no server can have started it.
 func (r *run) unanswered(now time.Time) ebonyworks.ForwardReply {
 	if r.abandonUnsent() {
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.longestWait())}
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: r.retryAfter()}
 	}
 	if !now.Before(r.deadline) {
 		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyTimeout, Reason: r.reason()}
@@ -350,6 +362,10 @@
 	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: r.reason()}
 }
 
+func (r *run) retryAfter() time.Duration {
+	return retryAfter(r.request.ID, r.longestWait(), r.forwarder.Precedence.Refused(r.legs[0].id, r.route.Priority))
+}
+
 // longestWait returns the longest predicted wait of the legs.
 func (r *run) longestWait() time.Duration {
 	var longest time.Duration
@@ -373,6 +389,9 @@
 // reason returns the reason of the first leg without a response, or of the one
 // with the longest wait if nothing was started.
 func (r *run) reason() string {
+	if r.yielded {
+		return "service " + string(r.legs[0].id) + " is overloaded: more urgent requests are turned away more often"
+	}
 	var cause *leg
 	for _, leg := range r.legs {
 		if !leg.done && (cause == nil || leg.started == 0 && leg.wait > cause.wait) {
--- a/coordination/fanout/world_test.go
+++ b/coordination/fanout/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/delay"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/precedence"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
 	"github.com/ebonyworks/ebonyworks/coordination/selection"
@@ -123,6 +124,7 @@
 		Quota:      known.quota,
 		Repeats:    allowance.New(repeatBound, 1),
 		Delays:     &delay.Estimator{},
+		Precedence: &precedence.Balance{},
 		Backend:    w,
 		Inspection: w.inspector,
 		Observer:   w,
--- /dev/null
+++ b/coordination/precedence/precedence.go
@@ -0,0 +1,104 @@
+// Package precedence keeps less urgent requests from being served more often
+// than more urgent ones that need the same service.
+package precedence
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/pressure"
+)
+
+const (
+	// MaxServices bounds the services with state. Requests for others never yield.
+	MaxServices = 1024
+	// maxRanks bounds the priorities of one service with state.
+	maxRanks = 16
+	// tolerance is the refused share of the more urgent requests that is
+	// accepted: below it, single refusals of a calm day would cost others.
+	tolerance = 0.05
+)
+
+// Balance compares how often requests of each priority are turned away because
+// of load. It answers the load in which less urgent requests are easier to serve,
+// for example since they need fewer shards: they would fill the servers while
+// the urgent ones are turned away. It is safe for concurrent use. The zero value
+// is usable.
+type Balance struct {
+	mutex sync.Mutex
+	// services has at most MaxServices entries of at most maxRanks each.
+	services map[ebonyworks.ServiceID]map[int]*pressure.Share
+}
+
+// Count counts a request that was taken on, or turned away because of load.
+// Priority zero is the most urgent.
+func (b *Balance) Count(service ebonyworks.ServiceID, priority int, turnedAway bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if share := b.open(service, priority); share != nil {
+		share.Add(time.Now(), turnedAway)
+	}
+}
+
+// Refused returns the recent share of the requests that were turned away.
+func (b *Balance) Refused(service ebonyworks.ServiceID, priority int) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	share := b.services[service][priority]
+	if share == nil {
+		return 0
+	}
+	return share.Value(time.Now())
+}
+
+// Yields reports whether more urgent requests are turned away more often than
+// those of the priority. It never makes the latter the ones that are turned away
+// more often, so neither starves.
+func (b *Balance) Yields(service ebonyworks.ServiceID, priority int) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	own := 0.0
+	if share := b.services[service][priority]; share != nil {
+		own = share.Value(now)
+	}
+	for other, share := range b.services[service] {
+		if other < priority && share.Value(now) > max(own, tolerance) {
+			return true
+		}
+	}
+	return false
+}
+
+// Retain drops the state of services that aren't named.
+func (b *Balance) Retain(named map[ebonyworks.ServiceID]bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for id := range b.services {
+		if !named[id] {
+			delete(b.services, id)
+		}
+	}
+}
+
+func (b *Balance) open(service ebonyworks.ServiceID, priority int) *pressure.Share {
+	ranks := b.services[service]
+	if ranks == nil {
+		if len(b.services) >= MaxServices {
+			return nil
+		}
+		if b.services == nil {
+			b.services = make(map[ebonyworks.ServiceID]map[int]*pressure.Share)
+		}
+		ranks = make(map[int]*pressure.Share)
+		b.services[service] = ranks
+	}
+	if ranks[priority] == nil {
+		if len(ranks) >= maxRanks {
+			return nil
+		}
+		ranks[priority] = &pressure.Share{}
+	}
+	return ranks[priority]
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/guild"
 	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/precedence"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/coordination/registry"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
@@ -66,19 +67,20 @@
 
 // Gateway is a host that forwards opaque requests. Use New, then Run.
 type Gateway struct {
-	options   Options
-	follower  *registry.Follower
-	directory *directory.Directory
-	register  *register.Register
-	quota     *quota.Table
-	repeats   *allowance.Ledger
-	delays    *delay.Estimator
-	forwarder *fanout.Forwarder
-	guild     *guild.Guild
-	inspector *inspection.Inspector
-	reporter  *inspection.Reporter
-	subset    subset.Chooser
-	fleet     fleet
+	options    Options
+	follower   *registry.Follower
+	directory  *directory.Directory
+	register   *register.Register
+	quota      *quota.Table
+	repeats    *allowance.Ledger
+	delays     *delay.Estimator
+	precedence *precedence.Balance
+	forwarder  *fanout.Forwarder
+	guild      *guild.Guild
+	inspector  *inspection.Inspector
+	reporter   *inspection.Reporter
+	subset     subset.Chooser
+	fleet      fleet
 
 	mutex    sync.Mutex
 	stopping bool
@@ -100,14 +102,15 @@
 func New(options Options) *Gateway {
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	g := &Gateway{
-		options:   options,
-		directory: &directory.Directory{},
-		register:  &register.Register{Random: random(registerStream), Recorder: options.Recorder, ProbeByRequest: true},
-		quota:     quota.NewExclusive(assumedHosts),
-		repeats:   allowance.New(options.Repeats, assumedHosts),
-		delays:    &delay.Estimator{},
-		subset:    subset.Chooser{Host: options.Self.ID, Domain: options.Self.Domain},
-		fleet:     fleet{alone: !othersSeeded(options.Self.Address, options.Seeds)},
+		options:    options,
+		directory:  &directory.Directory{},
+		register:   &register.Register{Random: random(registerStream), Recorder: options.Recorder, ProbeByRequest: true},
+		quota:      quota.NewExclusive(assumedHosts),
+		repeats:    allowance.New(options.Repeats, assumedHosts),
+		delays:     &delay.Estimator{},
+		precedence: &precedence.Balance{},
+		subset:     subset.Chooser{Host: options.Self.ID, Domain: options.Self.Domain},
+		fleet:      fleet{alone: !othersSeeded(options.Self.Address, options.Seeds)},
 	}
 	g.guild = guild.New(guild.Config{
 		Self:     options.Self,
@@ -137,6 +140,7 @@
 		Quota:      g.quota,
 		Repeats:    g.repeats,
 		Delays:     g.delays,
+		Precedence: g.precedence,
 		Backend:    options.Backend,
 		Inspection: g.inspector,
 		Observer:   options.Observer,
@@ -257,6 +261,7 @@
 	}
 	g.delays.Retain(routes)
 	g.repeats.Retain(services)
+	g.precedence.Retain(services)
 }
 
 func (g *Gateway) retainConnections() {
