Judge waits against the target only at servers that report a queue

A wait counts against the target only where the average of the server's reports shows a queue, or where it reports nothing.

--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -73,7 +73,7 @@
 
 // prepare chooses the server of the first attempt and predicts the wait for its
 // permit. It returns false if the leg can't be expected to respond in time.
-func (l *leg) prepare(tolerated time.Duration) bool {
+func (l *leg) prepare(queueing queueing) bool {
 	if l.view == nil {
 		return false
 	}
@@ -85,7 +85,7 @@
 	}
 	l.first = index
 	l.wait = l.run.forwarder.Quota.PredictedWait(l.offered[index].Server.ID)
-	return l.wait == 0 || l.wait <= tolerated
+	return queueing.accepts(l.wait, crowded(&l.offered[index], l.view.Slots))
 }
 
 // startFirst starts the first attempt that prepare chose, and a copy of the
@@ -131,7 +131,7 @@
 	if !ok || candidate.Failing {
 		return
 	}
-	if candidate.InFlight >= candidate.Limit || !hasRoom(&candidate, l.view.Slots) {
+	if candidate.InFlight >= candidate.Limit || !hasFreeSlot(&candidate, l.view.Slots) {
 		l.due = time.Now().Add(max(l.run.hedgeDelay/recheckPart, minRecheck))
 		return
 	}
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -26,9 +26,9 @@
 	// carries them.
 	crowdedPart = 1.3
 	// queuePart is the part of the time left until the target latency that an
-	// attempt may be predicted to wait. The slowest of many legs takes about
-	// twice as long as the usual one.
-	queuePart = 0.5
+	// attempt may be predicted to wait. The rest is for the queues of the servers,
+	// and for the slowest of many legs, which takes a multiple of the usual time.
+	queuePart = 0.25
 )
 
 // queueing bounds how long a request may wait for permits. It answers the load in
@@ -36,25 +36,43 @@
 // bounded by the deadline only, each request waits until its deadline, and all
 // answers are late although the servers are as busy as they can be.
 type queueing struct {
-	// target is when the answer has to be sent to be in time, and deadline when
-	// it has to be sent at all.
-	target, deadline time.Time
+	// untilTarget is the time until the answer has to be sent to be in time, and
+	// untilDeadline until it has to be sent at all.
+	untilTarget, untilDeadline time.Duration
 	// usual is how long servers usually take, and unloaded how long they take
 	// without queues; zero if unknown.
 	usual, unloaded time.Duration
 }
 
-// tolerated returns the longest predicted wait with which an attempt starts. A
-// wait that is no longer than the work itself is tolerated. Where the work takes
-// longer than the target latency, or isn't known, only the deadline counts:
-// callers then prefer a late answer to none.
-func (q queueing) tolerated(now time.Time) time.Duration {
-	latest := q.deadline.Sub(now) - q.usual
-	left := q.target.Sub(now)
-	if q.unloaded == 0 || q.unloaded >= left {
+// accepts reports whether an attempt starts in spite of the predicted wait for
+// its permit. A wait at a server that isn't crowded has another cause than load,
+// such as a pause, and is left to second attempts.
+func (q queueing) accepts(wait time.Duration, crowded bool) bool {
+	if wait == 0 {
+		return true
+	}
+	latest := q.untilDeadline - q.usual
+	if !crowded {
+		return wait <= latest
+	}
+	return wait <= min(q.tolerated(latest), latest)
+}
+
+// tolerated returns the longest wait at a crowded server. A wait that is no
+// longer than the work itself is tolerated. Where the work takes longer than the
+// target latency, or isn't known, only the deadline counts: callers then prefer a
+// late answer to none.
+func (q queueing) tolerated(latest time.Duration) time.Duration {
+	if q.unloaded == 0 || q.unloaded >= q.untilTarget {
 		return latest
 	}
-	return min(max(time.Duration(queuePart*float64(left-q.usual)), q.unloaded), latest)
+	return max(time.Duration(queuePart*float64(q.untilTarget-q.usual)), q.unloaded)
+}
+
+// crowded reports whether a queue stands at the server, by the average of its
+// reports. A server that reports nothing may be crowded.
+func crowded(candidate *ebonyworks.Candidate, slots int) bool {
+	return candidate.Demand == 0 || candidate.Demand >= crowdedPart*float64(slots)
 }
 
 // contended reports whether so many legs would wait for a permit that the hosts'
@@ -74,11 +92,11 @@
 	return min(time.Duration((0.5+part)*base), maxRetryAfter)
 }
 
-// hasRoom reports whether a second attempt at the server takes a slot that would
-// be free otherwise. It answers the load in which most slots are in use: second
-// attempts at a fifth of the requests then take the room that is left, and make
+// hasFreeSlot reports whether a second attempt at the server takes a slot that
+// would be free otherwise. It answers the load in which most slots are in use:
+// second attempts at a fifth of the legs then take the room that is left, and make
 // the first ones late. A single report is older than the queue that it tells of,
-// so a server that is usually idle gets the attempt.
-func hasRoom(candidate *ebonyworks.Candidate, slots int) bool {
-	return candidate.SlotsBusy < slots || candidate.Demand < crowdedPart*float64(slots)
+// so a server that isn't crowded on average gets the attempt.
+func hasFreeSlot(candidate *ebonyworks.Candidate, slots int) bool {
+	return candidate.SlotsBusy < slots || !crowded(candidate, slots)
 }
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -164,10 +164,15 @@
 // them can be expected to respond in time. Nothing is sent before that, so a
 // request that is turned away has not run.
 func (r *run) admit(now time.Time) bool {
-	tolerated := queueing{target: r.seal.early, deadline: r.deadline, usual: r.usual, unloaded: r.unloaded}.tolerated(now)
+	queueing := queueing{
+		untilTarget:   r.seal.early.Sub(now),
+		untilDeadline: r.deadline.Sub(now),
+		usual:         r.usual,
+		unloaded:      r.unloaded,
+	}
 	expected, waiting := 0, 0
 	for _, leg := range r.legs {
-		if leg.prepare(tolerated) {
+		if leg.prepare(queueing) {
 			expected++
 		}
 		if leg.wait > 0 {
