--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -30,6 +30,8 @@
 	// longWork and shortWork are the mean work of the routes /all/ and /quick/.
 	longWork  = 11 * time.Millisecond
 	shortWork = 4 * time.Millisecond
+	// loadTime is how long one load lasts.
+	loadTime = 5 * time.Second
 )
 
 // slotServer has two slots and a queue, and sheds what doesn't fit.
@@ -146,14 +148,14 @@
 	}
 }
 
-// load sends requests to /all/ and a third as many to /quick/ for a while, and
+// load sends requests to /all/ and a third as many to /quick/ for loadTime, and
 // returns how they ended.
-func (f *fleet) load(perSecond int, duration time.Duration) (long, short *tally) {
+func (f *fleet) load(perSecond int) (long, short *tally) {
 	long, short = &tally{}, &tally{}
 	var asking sync.WaitGroup
 	interval := time.Second / time.Duration(perSecond)
 	refused := make(map[ebonyworks.RequestID]bool)
-	for i := range int(duration / interval) {
+	for i := range int(loadTime / interval) {
 		time.Sleep(interval)
 		path, aim, patience, of := "/all/", target, timeout, long
 		if i%4 == 3 {
@@ -187,16 +189,16 @@
 func TestBurstIsServedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
-		long, short := f.load(120, 5*time.Second)
+		long, short := f.load(120)
 		t.Logf("calm: %+v %+v", *long, *short)
 		assert.Greater(t, long.inTime, long.asked*9/10)
 		const perSecond = 800
-		long, short = f.load(perSecond, 5*time.Second)
+		long, short = f.load(perSecond)
 		t.Logf("burst: %+v %+v", *long, *short)
 		// In the time of four requests of which one is short, a shard with four
 		// slots finishes four.
 		mean := (3*longWork + shortWork) / 4
-		capacity := int(5 * time.Second / mean * 2 * serverSlots)
+		capacity := int(loadTime / mean * 2 * serverSlots)
 		assert.Greater(t, long.inTime+short.inTime, capacity/2, "half of what the servers can finish arrives in time")
 		assert.Less(t, long.late+short.late, (long.inTime+short.inTime)/4)
 		assert.Less(t, long.slowlyRefused+short.slowlyRefused, (long.refused+short.refused)/20, "what can't be served is refused at once")
@@ -205,7 +207,7 @@
 		assert.Greater(t, long.inTime*short.asked, short.inTime*long.asked*19/20, "the urgent kind is served as often as the other")
 		assert.Greater(t, short.inTime, short.asked/10)
 		time.Sleep(5 * time.Second)
-		long, short = f.load(120, 5*time.Second)
+		long, short = f.load(120)
 		t.Logf("after: %+v %+v", *long, *short)
 		assert.Greater(t, long.inTime, long.asked*9/10)
 		time.Sleep(time.Minute)
@@ -219,10 +221,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.begun = time.Now()
-		long, short := f.load(90, 5*time.Second)
+		long, short := f.load(90)
 		t.Logf("calm: %+v %+v", *long, *short)
 		f.sent = 0
-		long, short = f.load(300, 5*time.Second)
+		long, short = f.load(300)
 		legs := (long.asked - long.refused + short.asked - short.refused) * shardCount
 		t.Logf("burst: %+v %+v, %.3f attempts for each leg", *long, *short, float64(f.sent)/float64(legs))
 		assert.Less(t, f.sent, legs*11/10, "second attempts beyond the servers' pauses")
