Let a gateway continue after an earlier life whose clock was ahead

Cause: an incarnation is the time of day of the start. After a clock that was ahead has jumped back, a restarted host has a lower incarnation than its earlier life, so all others took its facts for old ones: it stayed dead to them, shared no view of the store, and neither lent nor borrowed fan-outs until the time of day had caught up. Ruled out: the boot clock (it starts anew with the machine, and nothing of the system lasts). A host whose incarnation is named by the membership only now takes a later one when it hears of a later life at its own address. A later life at another address is still another process with its name. ebonyd keeps the old behavior, since its tickets name the incarnation; it says so in its readiness (open). Before: TestRestartAfterClockJumpedBack, the host is alive to none of 2 others after 5 s. After: to both.

--- a/coordination/guild/exchange.go
+++ b/coordination/guild/exchange.go
@@ -74,8 +74,8 @@
 // fact, and what this host believes of the receiver if that isn't alive, so
 // that the receiver can refute it.
 func (g *Guild) compose(to ebonyworks.HostID, full bool) ebonyworks.Exchange {
-	message := ebonyworks.Exchange{From: g.config.Self}
-	message.Members = append(message.Members, g.roster.Self())
+	self := g.roster.Self()
+	message := ebonyworks.Exchange{From: self.Host, Members: []ebonyworks.Member{self}}
 	if member, found := g.roster.Member(to); found && member.State != ebonyworks.MemberAlive {
 		message.Members = append(message.Members, member)
 	}
--- a/coordination/guild/guild.go
+++ b/coordination/guild/guild.go
@@ -57,10 +57,13 @@
 	Listed(hosts []ebonyworks.ListedHost, asked time.Time)
 }
 
-// Config holds what a Guild needs. Only Seeds, Platform, Recorder, ReadsOften
-// and Beat may be zero.
+// Config holds what a Guild needs. Only Renews, Seeds, Platform, Recorder,
+// ReadsOften and Beat may be zero.
 type Config struct {
 	Self ebonyworks.Host
+	// Renews is set if nothing but the membership names the incarnation of this
+	// host, so that it may take a later one.
+	Renews bool
 	// Seeds are addresses of hosts to find others through.
 	Seeds []netip.AddrPort
 	Peer  ebonyworks.Peer
@@ -112,9 +115,11 @@
 
 // New returns a guild of one host.
 func New(config Config) *Guild {
+	members := roster.New(config.Self)
+	members.Renews = config.Renews
 	return &Guild{
 		config:      config,
-		roster:      roster.New(config.Self),
+		roster:      members,
 		random:      config.Random,
 		spreadWake:  make(chan struct{}, 1),
 		refreshWake: make(chan struct{}, 1),
--- a/coordination/guild/guild_test.go
+++ b/coordination/guild/guild_test.go
@@ -85,6 +85,8 @@
 	*network
 	hosts []ebonyworks.Host
 	stops []func()
+	// renews is given to guilds that start while it is set.
+	renews bool
 }
 
 func newParty(size int, loss float64) *party {
@@ -107,7 +109,7 @@
 
 func (p *party) start(i int, beat func()) {
 	g := guild.New(guild.Config{
-		Self: p.hosts[i], Seeds: []netip.AddrPort{p.hosts[0].Address}, Peer: port{network: p.network, own: p.hosts[i].Address},
+		Self: p.hosts[i], Renews: p.renews, Seeds: []netip.AddrPort{p.hosts[0].Address}, Peer: port{network: p.network, own: p.hosts[i].Address},
 		Platform: list{network: p.network}, Random: rand.New(rand.NewPCG(uint64(i), 1)), Beat: beat,
 	})
 	p.mu.Lock()
@@ -272,6 +274,34 @@
 	})
 }
 
+// Guards against a host that stays unknown to all others after a restart because
+// the time of day has jumped back: its incarnation is the time of its start.
+func TestRestartAfterClockJumpedBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(3, 0)
+		defer p.stopAll()
+		p.renews = true
+		p.stops[2]()
+		p.hosts[2].Incarnation = 2_000
+		p.start(2, nil)
+		time.Sleep(5 * time.Second)
+		p.stops[2]()
+		p.hosts[2].Incarnation = 1_000
+		p.start(2, nil)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberAlive: 2}, p.states(2))
+		assert.Greater(t, p.guild(2).Self().Host.Incarnation, ebonyworks.Incarnation(2_000))
+		assert.True(t, p.guild(2).Readiness().Ready(), p.guild(2).Readiness().Reasons)
+
+		elsewhere := p.hosts[2]
+		elsewhere.Incarnation = 9_000
+		elsewhere.Address = netip.AddrPortFrom(elsewhere.Address.Addr(), 9)
+		_, err := p.guild(2).HandleExchange(t.Context(), ebonyworks.Exchange{From: p.hosts[0], Members: []ebonyworks.Member{{Host: elsewhere}}})
+		require.NoError(t, err)
+		assert.False(t, p.guild(2).Readiness().Ready(), "another process uses the name")
+	})
+}
+
 // Guards against a host that is ready although it reaches neither a peer nor
 // the platform, and one that waits for peers when there are none.
 func TestReadinessAlone(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 	}
 	g.guild = guild.New(guild.Config{
 		Self:     options.Self,
+		Renews:   true,
 		Seeds:    options.Seeds,
 		Peer:     options.Peer,
 		Random:   random(guildStream),
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -51,6 +51,12 @@
 // Roster holds the members that a host knows, itself included. Facts only
 // move forward in their order. Methods can be called concurrently.
 type Roster struct {
+	// Renews is set if nothing but the membership names the incarnation of this
+	// host. A later incarnation at the same address is then an earlier life of the
+	// host, whose clock was ahead, and the host takes one that is later still. It
+	// is set before the first use.
+	Renews bool
+
 	mu   sync.Mutex
 	self entry
 	// members has at most maxMembers entries, without this host.
@@ -301,6 +307,11 @@
 func (r *Roster) mergeSelf(fact ebonyworks.Member) Change {
 	self := &r.self.member
 	if fact.Host.Incarnation > self.Host.Incarnation {
+		if r.Renews && fact.Host.Address == self.Host.Address && fact.Host.Incarnation < math.MaxUint64 {
+			self.Host.Incarnation = fact.Host.Incarnation + 1
+			self.Round, r.self.sent = 0, 0
+			return Change{Refuted: true}
+		}
 		r.replaced = true
 		return Change{Replaced: true}
 	}
