Measure a gateway's own state; drop functions that only tests called

Register.LastSuccess, Register.ReportAge and departure.Tracker.Refused had no caller but tests. Pool.Opened and Servers.Opened become the metric ebonyworks.connections.opened; revision, readiness, hosts and quarantined fingerprints of a gateway are measured, too.

--- a/coordination/departure/departure.go
+++ b/coordination/departure/departure.go
@@ -129,12 +129,6 @@
 	t.learn(ebonyworks.Departure{Server: server, Incarnation: incarnation, Leaving: true}, "goaway")
 }
 
-// Refused learns that the server refused a connection. The reason may be its
-// connection cap, so the fact expires soon.
-func (t *Tracker) Refused(server ebonyworks.ServerID) {
-	t.learnLoose(server, refusedTime, "refused")
-}
-
 // Listed learns from the platform's list, which names no incarnations.
 func (t *Tracker) Listed(hosts []ebonyworks.ListedHost, asked time.Time) {
 	for _, host := range hosts {
--- a/coordination/departure/departure_test.go
+++ b/coordination/departure/departure_test.go
@@ -60,9 +60,6 @@
 		"go away of an unknown life": {
 			{"go away", func(t *departure.Tracker) { t.GoAway(server) }, true}, {"later", sleep(time.Minute), false},
 		},
-		"refused": {
-			{"refused", func(t *departure.Tracker) { t.Refused(server) }, true}, {"later", sleep(11 * time.Second), false},
-		},
 		"list": {
 			{"leaving", list(true), true}, {"replies all the same", observe(3, false), true}, {"list says no", list(false), false},
 		},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,8 @@
 type ConnectionKeeper interface {
 	// Retain closes the connections to addresses that aren't named.
 	Retain(named map[netip.AddrPort]bool)
+	// Opened returns the number of connections that were opened so far.
+	Opened() uint64
 }
 
 // Options are what a gateway needs. Recorder, Observer and Connections may be
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/telemetry/instrument"
+)
+
+// Measure creates the instruments of the host's own state. It is called once.
+func (g *Gateway) Measure(meter metric.Meter) error {
+	var failures [5]error
+	revision, err := meter.Int64ObservableGauge(instrument.Revision)
+	failures[0] = err
+	ready, err := meter.Int64ObservableGauge(instrument.Ready)
+	failures[1] = err
+	hosts, err := meter.Int64ObservableGauge(instrument.Hosts)
+	failures[2] = err
+	quarantined, err := meter.Int64ObservableGauge(instrument.Quarantined)
+	failures[3] = err
+	opened, err := meter.Int64ObservableCounter(instrument.Opened)
+	failures[4] = err
+	if err := errors.Join(failures[:]...); err != nil {
+		return errors.Wrap(err, "create the gateway's instruments")
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, out metric.Observer) error {
+		out.ObserveInt64(revision, int64(g.revision()))
+		out.ObserveInt64(ready, flag(g.Ready()))
+		out.ObserveInt64(hosts, int64(g.fleet.Hosts()))
+		out.ObserveInt64(quarantined, int64(g.inspector.Blocked()))
+		if g.options.Connections != nil {
+			out.ObserveInt64(opened, int64(g.options.Connections.Opened()))
+		}
+		return nil
+	}, revision, ready, hosts, quarantined, opened)
+	if err != nil {
+		return errors.Wrap(err, "register the gateway's metrics")
+	}
+	return nil
+}
+
+// revision returns that of the configuration in force, or zero.
+func (g *Gateway) revision() ebonyworks.Revision {
+	table := g.follower.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Configuration().Revision
+}
+
+func flag(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/metrics_test.go
@@ -0,0 +1,36 @@
+package gateway_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks/telemetry"
+)
+
+// Guards against metrics of a gateway that don't follow its state.
+func TestOwnMetrics(t *testing.T) {
+	s := newSite(t)
+	measured, err := telemetry.New(t.Context(), telemetry.Options{Process: "ebony-front", Host: "host"})
+	require.NoError(t, err)
+	require.NoError(t, s.host.Measure(measured.Meter()))
+	_, err = s.ask(&http.Client{}, http.MethodGet, "/all/1", nil, nil)
+	require.NoError(t, err)
+	scrape := func() string {
+		recorder := httptest.NewRecorder()
+		measured.MetricsHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return recorder.Body.String()
+	}
+	page := scrape()
+	for _, want := range []string{
+		`ebonyworks_host_revision\{[^}]*\} 1\n`, `ebonyworks_host_ready\{[^}]*\} 1\n`, `ebonyworks_hosts\{[^}]*\} 1\n`,
+		`ebonyworks_connections_opened_total\{[^}]*\} 2\n`, `ebonyworks_fingerprints_quarantined\{[^}]*\} 0\n`,
+	} {
+		assert.Regexp(t, want, page)
+	}
+	s.host.BeginStop()
+	assert.Regexp(t, `ebonyworks_host_ready\{[^}]*\} 0\n`, scrape())
+}
--- a/state/register/learn.go
+++ b/state/register/learn.go
@@ -113,7 +113,6 @@
 	if known.failing() {
 		r.record(event.ServerRecovered, server)
 	}
-	known.lastSuccess = now
 	known.refreshed = now
 	known.failures = 0
 	if !known.slow {
--- a/state/register/record.go
+++ b/state/register/record.go
@@ -33,8 +33,7 @@
 	interval  time.Duration
 	nextProbe time.Time
 	// probing is set from the probe of a failing server to its result.
-	probing     bool
-	lastSuccess time.Time
+	probing bool
 	// lastReport is when slotsBusy and queued were reported.
 	lastReport time.Time
 	slotsBusy  int
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -153,30 +153,6 @@
 	return known.incarnation
 }
 
-// ReportAge returns the age of the server's last report, or false if it sent
-// none.
-func (r *Register) ReportAge(server ebonyworks.ServerID) (time.Duration, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	known := r.servers[server]
-	if known == nil || known.lastReport.IsZero() {
-		return 0, false
-	}
-	return time.Since(known.lastReport), true
-}
-
-// LastSuccess returns when an attempt at the server last succeeded, or the
-// zero time.
-func (r *Register) LastSuccess(server ebonyworks.ServerID) time.Time {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	known := r.servers[server]
-	if known == nil {
-		return time.Time{}
-	}
-	return known.lastSuccess
-}
-
 // Retain drops the records of servers that the configuration no longer names.
 // Servers that a later configuration adds start slowly.
 func (r *Register) Retain(configuration *ebonyworks.Configuration) {
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -45,6 +45,8 @@
 	Forwards     = "ebonyworks.forwards"
 	ForwardTime  = "ebonyworks.forward.duration"
 	MissedParts  = "ebonyworks.missed_parts"
+	Hosts        = "ebonyworks.hosts"
+	Opened       = "ebonyworks.connections.opened"
 )
 
 // Catalogue returns all metrics in the order of docs/telemetry.md.
@@ -79,5 +81,7 @@
 		{Name: Forwards, Kind: Counter, Labels: []string{"outcome", "route"}},
 		{Name: ForwardTime, Kind: Histogram, Unit: "s", Labels: []string{"route"}},
 		{Name: MissedParts, Kind: Counter, Labels: []string{"route"}},
+		{Name: Hosts, Kind: Gauge},
+		{Name: Opened, Kind: Counter},
 	}
 }
