Let peers fetch views of the store of the largest size

Cause: the client of peers took at most 1 MiB for every reply. A view of the store with a configuration near the store's largest value, or with the registrations of 2,400 servers beside it, couldn't be had by the hosts that the store turns away (kind platform_down nodes with big_config). Before: TestLargeView, resource_exhausted at 1.77 MB. After: it passes. A part of a daemon's document is still bounded by 1 MiB.

--- a/transport/courier/client.go
+++ b/transport/courier/client.go
@@ -111,6 +111,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "fetch part from %s", from)
 	}
+	if len(reply.GetPart()) > maxDocumentBytes {
+		return nil, errors.Errorf("fetch part from %s: %d bytes are larger than %d", from, len(reply.GetPart()), maxDocumentBytes)
+	}
 	return reply.GetPart(), nil
 }
 
@@ -173,7 +176,7 @@
 		clear(c.clients)
 	}
 	client := peerv1connect.NewPeerServiceClient(c.http, "http://"+address.String(),
-		connect.WithReadMaxBytes(maxDocumentBytes),
+		connect.WithReadMaxBytes(maxHeadBytes),
 		connect.WithSendMaxBytes(maxLedgerBytes),
 		connect.WithInterceptors(connect.UnaryInterceptorFunc(c.options.traceCall), connect.UnaryInterceptorFunc(boundCall)),
 	)
--- a/transport/courier/courier_test.go
+++ b/transport/courier/courier_test.go
@@ -26,6 +26,8 @@
 	during   func()
 	deadline atomic.Int64
 	document []byte
+	// head is the answer to FetchHead; nil means that there is none.
+	head []byte
 }
 
 func (h *recordingHandler) HandleExchange(ctx context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
@@ -40,7 +42,10 @@
 }
 
 func (h *recordingHandler) HandleFetchHead(context.Context) ([]byte, error) {
-	return nil, errors.New("nothing accepted")
+	if h.head == nil {
+		return nil, errors.New("nothing accepted")
+	}
+	return h.head, nil
 }
 
 func (h *recordingHandler) HandleFetchPart(context.Context, ebonyworks.Digest) ([]byte, error) {
@@ -267,6 +272,16 @@
 	}
 }
 
+// Guards against a view of the store that hosts without the store can't have: a
+// configuration of the largest size and the registrations of 2,400 servers.
+func TestLargeView(t *testing.T) {
+	const view = 1<<20 + 2400*300
+	_, host := start(t, &recordingHandler{head: make([]byte, view)}, uncut)
+	head, err := client(t).FetchHead(t.Context(), host.Address)
+	require.NoError(t, err)
+	assert.Len(t, head, view)
+}
+
 // Guards against lost fields, unbounded messages and calls without a deadline
 // on the way through both sides.
 func TestCalls(t *testing.T) {
--- a/transport/courier/limits.go
+++ b/transport/courier/limits.go
@@ -12,8 +12,12 @@
 	maxReservationBytes = 1 << 20
 	// maxDocumentBytes leaves room for the envelope around a value of 1 MiB.
 	maxDocumentBytes = 1<<20 + 1<<10
-	maxLedgerBytes   = 16 << 20
-	maxForwardBytes  = 16 << 20
+	// maxHeadBytes has room for a gateway's view of the store: a configuration of
+	// 1 MiB, the largest value of the store, and 2,400 registrations of 300 bytes,
+	// twice for another encoding.
+	maxHeadBytes    = 4 << 20
+	maxLedgerBytes  = 16 << 20
+	maxForwardBytes = 16 << 20
 )
 
 // Limits on the time of one call. The context of the caller can shorten them.
@@ -34,7 +38,9 @@
 
 func limitOf(procedure string) limit {
 	switch procedure {
-	case peerv1connect.PeerServiceFetchHeadProcedure, peerv1connect.PeerServiceFetchPartProcedure:
+	case peerv1connect.PeerServiceFetchHeadProcedure:
+		return limit{requestBytes: maxFactsBytes, responseBytes: maxHeadBytes, time: documentTime}
+	case peerv1connect.PeerServiceFetchPartProcedure:
 		return limit{requestBytes: maxFactsBytes, responseBytes: maxDocumentBytes, time: documentTime}
 	case peerv1connect.PeerServiceForwardProcedure:
 		return limit{requestBytes: maxForwardBytes, responseBytes: maxForwardBytes, time: forwardTime}
