Notice that peers know more although others know less

Cause: a waiting watch whose answer is lost is given up once peers have known more for 2 s, but each message of a peer that knew no more than this host started that time anew. While the store turns a third of the hosts away, or they are cut from it, such messages come several times a second, so the watch was never given up and a change was in force after up to 5.5 s. Before: TestSomePeersKnowLess, version 1 after 3 s. After: version 2.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -221,7 +221,10 @@
 func (f *Follower) advance(asOf ebonyworks.StoreRevision) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.asOf = max(f.asOf, asOf)
+	if asOf > f.asOf {
+		f.asOf = asOf
+		f.behindSince = time.Time{}
+	}
 }
 
 // watch asks for changes. It is given up if peers know more for a while: then
@@ -247,8 +250,10 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	switch {
-	case asOf <= f.asOf || !f.available:
+	case !f.available:
 		f.behindSince = time.Time{}
+	case asOf <= f.asOf:
+		// The store may turn this peer away. Others can still know more.
 	case f.behindSince.IsZero():
 		f.behindSince = time.Now()
 	case time.Since(f.behindSince) > behindFactor*f.gatherTime() && f.giveUp != nil:
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -384,3 +384,26 @@
 		assert.Equal(t, 2, revision(follower))
 	})
 }
+
+// Guards against a host that takes peers that know less, since the store turns
+// them away, for a sign that its own silent watch missed nothing.
+func TestSomePeersKnowLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.silent = true })
+		s.add(ebonyworks.StoreChange{Removed: "nobody"})
+		time.Sleep(1200 * time.Millisecond)
+		s.set(func() { s.silent = false })
+		s.configure(2)
+		for range 10 {
+			follower.Heard(ebonyworks.StoreRevision(3))
+			time.Sleep(150 * time.Millisecond)
+			follower.Heard(ebonyworks.StoreRevision(1))
+			time.Sleep(150 * time.Millisecond)
+		}
+		assert.Equal(t, 2, revision(follower))
+	})
+}
