Probe replicas without samples once the others have become slow; test the kinds of server faults

Cause: TestDomainIsLost/slow (new): all near servers became eight times as slow and the far ones had no sample yet. A replica without a sample is taken to be as slow as the others, so the near one stayed the cheapest: 97 of 100 answers missed a shard although the other domain was idle. Hedges didn't help, since most legs were late together. Ruled out: the decay of latencies (only servers with samples have it), the far factor of the gateway (any factor above 1 keeps the near server).

--- /dev/null
+++ b/coordination/fanout/faults_test.go
@@ -0,0 +1,176 @@
+package fanout_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+)
+
+// requests asks on a route for a while and returns the shares of answers in
+// time and of complete ones.
+func (w *world) requests(t *testing.T, prefix string, count int) (inTime, complete float64) {
+	t.Helper()
+	for i := range count {
+		reply, elapsed := w.ask(fmt.Sprintf("%s%s-%d", prefix, t.Name(), i))
+		if answered := reply.Kind == ebonyworks.ReplyMerged || reply.Kind == ebonyworks.ReplyRelayed; answered && elapsed <= target {
+			inTime += 1 / float64(count)
+			if reply.Missing == 0 {
+				complete += 1 / float64(count)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return inTime, complete
+}
+
+// part returns a number from 0 to 1 that is fixed for the arguments.
+func part(arguments ...any) float64 {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprint(hash, arguments...)
+	return float64(hash.Sum64()%1000) / 1000
+}
+
+// Guards against answers that are late or incomplete because one server of a
+// shard fails two fifths of its requests while its health is good, in each of the
+// ways that servers fail.
+func TestServerFailsInPart(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		does behavior
+	}{
+		{"errors", behavior{takes: time.Millisecond, result: ebonyworks.AttemptFailed, status: 500}},
+		{"sheds", behavior{takes: time.Millisecond, result: ebonyworks.AttemptShed}},
+		{"resets", behavior{takes: time.Millisecond, result: ebonyworks.AttemptLost}},
+		{"spoils answers", behavior{takes: usual, result: ebonyworks.AttemptInvalid}},
+		{"hangs", served(time.Minute)},
+		{"eight times as slow", served(8 * usual)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) {
+				w.warmUp()
+				w.set(func(id ebonyworks.ServerID, request *ebonyworks.ForwardRequest) behavior {
+					if id == server(3, "a") && part(request.ID) < 0.4 {
+						return test.does
+					}
+					return served(usual)
+				})
+				inTime, complete := w.requests(t, "/all/", 100)
+				assert.InDelta(t, 1, inTime, 1e-9)
+				assert.Greater(t, complete, 0.95)
+			})
+		})
+	}
+}
+
+// Guards against answers that depend on one failure domain: all its servers
+// crash, go silent or work slowly, and are back later.
+func TestDomainIsLost(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		does behavior
+	}{
+		{"crashed", behavior{result: ebonyworks.AttemptUnreachable}},
+		{"silent", served(time.Minute)},
+		{"slow", served(8 * usual)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) {
+				w.warmUp()
+				w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+					if strings.HasSuffix(string(id), "a") {
+						return test.does
+					}
+					return served(usual)
+				})
+				_, _ = w.requests(t, "/all/first-", 50)
+				inTime, complete := w.requests(t, "/all/", 100)
+				assert.Greater(t, inTime, 0.99)
+				assert.Greater(t, complete, 0.9)
+				w.set(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior { return served(usual) })
+				time.Sleep(10 * time.Second)
+				_, _ = w.requests(t, "/all/back-", 1000)
+				used := 0
+				for id, count := range w.reached() {
+					if strings.HasSuffix(string(id), "a") && count > 10 {
+						used++
+					}
+				}
+				assert.Equal(t, shardCount, used, "servers that are back get their part of the requests")
+			})
+		})
+	}
+}
+
+// Guards against a fan-out that goes on for a shard that has no server at all,
+// and against one that fails because of it.
+func TestShardWithoutServers(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		for _, replica := range []string{"a", "b"} {
+			w.directory.Remove(server(5, replica), 9, time.Time{})
+		}
+		reply, elapsed := w.ask("/all/1")
+		assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
+		assert.Equal(t, 1, reply.Missing)
+		assert.Equal(t, usual, elapsed)
+		for i := range 3 {
+			for _, replica := range []string{"a", "b"} {
+				w.directory.Remove(server(i, replica), 9, time.Time{})
+			}
+		}
+		w.set(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior { return served(usual) })
+		reply, elapsed = w.ask("/all/2")
+		assert.Equal(t, ebonyworks.ReplyRefused, reply.Kind, "too few shards can respond, and nothing was sent")
+		assert.Zero(t, elapsed)
+		assert.Empty(t, w.reached())
+	})
+}
+
+// Guards against an answer whose parts come from two sets of shards: another
+// configuration comes into force in mid-query.
+func TestShardsChangeInMidQuery(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		before := w.Table().Configuration()
+		after := *before
+		after.Revision++
+		after.Routes = append([]ebonyworks.ForwardRoute(nil), before.Routes...)
+		after.Routes[0].Shards = before.Routes[0].Shards[:shardCount/2]
+		changed := routing.New(&after)
+		w.set(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior {
+			w.Forwarder.Table = func() *routing.Table { return changed }
+			return served(usual)
+		})
+		reply, _ := w.ask("/all/1")
+		require.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
+		assert.Len(t, reply.Signatures, shardCount, "the set that the query began with")
+		reply, _ = w.ask("/all/2")
+		assert.Len(t, reply.Signatures, shardCount/2)
+		assert.Zero(t, reply.Missing)
+	})
+}
+
+// Guards against requests that wait for a host whose own processor is five times
+// slower than usual: all its attempts take longer, and none is made twice.
+func TestSlowHost(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		w.set(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior { return served(5 * usual) })
+		inTime, complete := w.requests(t, "/all/", 50)
+		assert.InDelta(t, 1, inTime, 1e-9)
+		assert.InDelta(t, 1, complete, 1e-9)
+		count := 0
+		for _, arrivals := range w.reached() {
+			count += arrivals
+		}
+		assert.Less(t, count, 50*shardCount*11/10)
+	})
+}
--- a/state/register/candidates.go
+++ b/state/register/candidates.go
@@ -84,6 +84,7 @@
 		records = append(records, r.servers[server.ID])
 	}
 	best := bestTypical(service, route, records)
+	explores := mayProbe && r.ProbeByRequest && degraded(best, records)
 	for i, server := range service.Servers {
 		known := records[i]
 		if !route.Allows(server.Domain) || (known != nil && known.leaving) {
@@ -94,6 +95,9 @@
 			r.compare(known, best, now)
 			r.describe(known, &candidate, mayProbe, now)
 		}
+		if explores && (known == nil || known.typical == 0) && r.takeTrial(server.ID, now) {
+			candidate.Probe = true
+		}
 		candidates = append(candidates, candidate)
 	}
 	return candidates
@@ -114,6 +118,29 @@
 	return best
 }
 
+// degraded reports whether the best replica has become far slower than it was. A
+// replica without any sample is then worth a probe: it is taken to be as slow as
+// the others, and a near server would be used for ever.
+func degraded(best time.Duration, records []*record) bool {
+	var fastest time.Duration
+	for _, known := range records {
+		if known != nil && known.fastest > 0 && (fastest == 0 || known.fastest < fastest) {
+			fastest = known.fastest
+		}
+	}
+	return fastest > 0 && best > slowFactor*fastest && best > fastest+slowSlack
+}
+
+// takeTrial reports whether a server without samples is due for a probe.
+func (r *Register) takeTrial(id ebonyworks.ServerID, now time.Time) bool {
+	known := r.open(id)
+	if known == nil || known.failing() || known.leaving || now.Before(known.nextProbe) {
+		return false
+	}
+	known.nextProbe = now.Add(r.jitter(firstSlowInterval))
+	return true
+}
+
 // compare sets or clears the slow state of a server.
 func (r *Register) compare(known *record, best time.Duration, now time.Time) {
 	known.best = best
--- a/state/register/learn.go
+++ b/state/register/learn.go
@@ -74,6 +74,7 @@
 	known.rampSince = now
 	known.latency = 0
 	known.typical = 0
+	known.fastest = 0
 	known.slow = false
 	known.failures = 0
 	known.resetProbes()
--- a/state/register/record.go
+++ b/state/register/record.go
@@ -22,6 +22,8 @@
 	latencyAt time.Time
 	// typical is the average over the last samples, zero if there is none.
 	typical time.Duration
+	// fastest is the lowest typical latency so far, zero if there is none.
+	fastest time.Duration
 	// best is the typical latency of the best replica when last compared.
 	best time.Duration
 	// slow is set while the typical latency is far above that of a replica.
@@ -106,6 +108,7 @@
 func (k *record) sampleTypical(latency time.Duration) {
 	if k.typical == 0 {
 		k.typical = latency
+		k.fastest = latency
 		return
 	}
 	weight := typicalWeight
@@ -114,6 +117,7 @@
 		k.shorten(latency)
 	}
 	k.typical += time.Duration(weight * float64(latency-k.typical))
+	k.fastest = min(k.fastest, k.typical)
 }
 
 // shorten sets the interval between probes of a slow server after a good one.
