--- a/coordination/fanout/faults_test.go
+++ b/coordination/fanout/faults_test.go
@@ -146,7 +146,7 @@
 		after.Routes[0].Shards = before.Routes[0].Shards[:shardCount/2]
 		changed := routing.New(&after)
 		w.set(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior {
-			w.Forwarder.Table = func() *routing.Table { return changed }
+			w.Table = func() *routing.Table { return changed }
 			return served(usual)
 		})
 		reply, _ := w.ask("/all/1")
