--- a/coordination/fanout/queueing_test.go
+++ b/coordination/fanout/queueing_test.go
@@ -1,10 +1,13 @@
 package fanout
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
 )
 
 // Guards against waits that make answers late in overload, and against refusals
@@ -35,3 +38,30 @@
 		assert.Equal(t, test.accepted, test.queueing.accepts(test.wait, test.crowded), test.name)
 	}
 }
+
+// Guards against refused callers who come back together, too early while many
+// are refused, or after the overload is long over.
+func TestRetryAfter(t *testing.T) {
+	average := func(wait time.Duration, refused float64) time.Duration {
+		var sum time.Duration
+		const callers = 1000
+		seen := make(map[time.Duration]int)
+		for i := range callers {
+			after := retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), wait, refused)
+			seen[after.Round(minRetryAfter/10)]++
+			sum += after
+		}
+		for after, count := range seen {
+			assert.Less(t, count, callers/4, after)
+		}
+		return sum / callers
+	}
+	alone := average(0, 0)
+	assert.InDelta(t, minRetryAfter, alone, float64(minRetryAfter/10))
+	assert.InDelta(t, 2*alone, average(0, 0.5), float64(alone/10))
+	assert.InDelta(t, 4*alone, average(0, 1), float64(alone/10))
+	assert.InDelta(t, 3*alone, average(3*minRetryAfter, 0), float64(alone/5))
+	for i := range 100 {
+		assert.LessOrEqual(t, retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), time.Hour, 1), maxRetryAfter)
+	}
+}
