Put links with faults between the processes of the soak

Faults of links were played by the stand-ins. Each host now reaches the store, and all hosts reach each server, through a proxy on the loopback network that delays, resets, swallows both ways or one, with a random stream of its own, so that the seeds that failed keep their schedules. A connection that lost bytes stays silent after the fault, as one does whose peer is gone. Between hosts there is no link: they announce the address that they listen on. The clock of a process can't be moved without root; restarts after a jump are tested by guild.TestRestartAfterClockJumpedBack.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -38,7 +38,10 @@
 	ledger  *ledger
 	fronts  []*front
 	servers []*backend
-	version int
+	// storeLinks are between each host and the store, and serverLinks between all
+	// hosts and each server.
+	storeLinks, serverLinks []*link
+	version                 int
 }
 
 func newSite(t *testing.T, binary string, seed uint64) *site {
@@ -65,11 +68,12 @@
 		seeds = append(seeds, fmt.Sprintf("%s.%d:7003", base, i+2))
 	}
 	for i := range hostCount {
+		s.storeLinks = append(s.storeLinks, newLink(t, listener.Addr().String()))
 		ip := fmt.Sprintf("%s.%d", base, i+2)
 		f := &front{address: ip + ":7001", ready: ip + ":7002", settings: filepath.Join(t.TempDir(), "settings.conf")}
 		content := strings.Join([]string{
 			"NodeName=host-" + fmt.Sprint(i), "Zone=zone-" + fmt.Sprint(i), "ListenAddrs.Front=" + f.address, "ListenAddrs.Ready=" + f.ready,
-			"ListenAddrs.Control=" + ip + ":7003", "Seeds=" + strings.Join(seeds, ","), "platform.Address=" + listener.Addr().String(),
+			"ListenAddrs.Control=" + ip + ":7003", "Seeds=" + strings.Join(seeds, ","), "platform.Address=" + s.storeLinks[i].address(),
 			"Limits.CpuShare=0.4", "Limits.Cores=1", "Bounds.GraceS=6", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10",
 			"Bounds.RetrySlack=56", "Bounds.ConfigApplyMs=3000", "Bounds.DrainMs=3000",
 		}, "\n")
@@ -110,11 +114,13 @@
 	go b.serve()
 	t.Cleanup(func() { _ = listener.Close() })
 	s.servers = append(s.servers, b)
+	s.serverLinks = append(s.serverLinks, newLink(t, listener.Addr().String()))
+	b.address = s.serverLinks[len(s.serverLinks)-1].address()
 	s.announce(b, "ready")
 }
 
 func (s *site) announce(b *backend, state string) {
-	s.store.put("servers/"+b.id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":4,"State":%q,"WarmupLeftMs":0,"Sequence":1,"born":1}`, b.service, b.listener.Addr(), state))
+	s.store.put("servers/"+b.id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":4,"State":%q,"WarmupLeftMs":0,"Sequence":1,"born":1}`, b.service, b.address, state))
 }
 
 func (s *site) start(t *testing.T) {
@@ -209,6 +215,20 @@
 	}
 }
 
+// injectLink starts or ends a fault of one link.
+func (s *site) injectLink(random *rand.Rand) {
+	links := s.serverLinks
+	if random.IntN(2) == 0 {
+		links = s.storeLinks
+	}
+	chosen := links[random.IntN(len(links))]
+	if random.IntN(2) == 0 {
+		chosen.set("")
+		return
+	}
+	chosen.set(linkFaults[random.IntN(len(linkFaults))])
+}
+
 func (s *site) resume() {
 	for _, f := range s.fronts {
 		f.signal(syscall.SIGCONT)
@@ -220,6 +240,9 @@
 func (s *site) heal(t *testing.T) {
 	t.Helper()
 	s.store.setFault("")
+	for _, l := range append(s.storeLinks, s.serverLinks...) {
+		l.set("")
+	}
 	s.resume()
 	for _, b := range s.servers {
 		b.set(func() { b.fault, b.delay = "", 5*time.Millisecond })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,12 +74,14 @@
 
 func soakOnce(t *testing.T, binary string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 7))
+	links := rand.New(rand.NewPCG(seed, 8))
 	site := newSite(t, binary, seed)
 	site.start(t)
 	callers := site.startCallers(t)
 	end := time.Now().Add(*duration)
 	for time.Now().Before(end) {
 		site.inject(t, random)
+		site.injectLink(links)
 		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
 	}
 	site.heal(t)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -170,11 +170,13 @@
 	}
 }
 
-// backend is one server, reached through a proxy with faults of the link.
+// backend is one server, reached through a link.
 type backend struct {
 	id, service string
 	ledger      *ledger
 	listener    net.Listener
+	// address is that of the link to the server.
+	address string
 
 	mutex sync.Mutex
 	// delay is how long a request takes.
