--- a/coordination/routing/table_test.go
+++ b/coordination/routing/table_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -63,3 +64,35 @@
 	}
 	assert.Equal(t, map[ebonyworks.ServiceID]int{"a": 70, "b": 20, "c": 10}, counts)
 }
+
+// Guards against requests that take a wrong route, or that start the shares of
+// weighted services anew, when a configuration adds hundreds of routes.
+func TestManyRoutes(t *testing.T) {
+	const added = 400
+	weighted := ebonyworks.ForwardRoute{ID: "weighted", Host: "h", Prefix: "/w/", Backends: []ebonyworks.WeightedService{{Service: "x", Weight: 3}, {Service: "y", Weight: 1}}}
+	before := routing.New(&ebonyworks.ForwardConfiguration{Revision: 1, Routes: []ebonyworks.ForwardRoute{weighted}})
+	configuration := &ebonyworks.ForwardConfiguration{Revision: 2, Routes: []ebonyworks.ForwardRoute{weighted}}
+	for i := range added {
+		id := ebonyworks.RouteID("r" + strconv.Itoa(i))
+		configuration.Routes = append(configuration.Routes,
+			ebonyworks.ForwardRoute{ID: id, Host: "H", Prefix: "/w/" + string(id) + "/"})
+	}
+	counts := make(map[ebonyworks.ServiceID]int)
+	next := func(table *routing.Table, path string) {
+		route, ok := table.Match("h", path)
+		require.True(t, ok)
+		counts[route.Next()]++
+	}
+	next(before, "/w/1")
+	after := routing.New(configuration)
+	after.Inherit(before)
+	for i := range added {
+		route, ok := after.Match("h", "/w/r"+strconv.Itoa(i)+"/q")
+		require.True(t, ok)
+		assert.Equal(t, ebonyworks.RouteID("r"+strconv.Itoa(i)), route.ID)
+	}
+	for range 3 {
+		next(after, "/w/1")
+	}
+	assert.Equal(t, map[ebonyworks.ServiceID]int{"x": 3, "y": 1}, counts)
+}
