Never refuse a request that a larger host may have run

Cause: when a delegated request got no answer at once, the fallback's refusal (not run) reached the caller although the larger host may have run it. In the other direction, two refusals, one from each host, ended as a failure without a Retry-After. Before: TestRefusalIsTrue fails for 'no answer' and 'refused, late'. After: passes.

--- a/coordination/delegation/delegator.go
+++ b/coordination/delegation/delegator.go
@@ -70,7 +70,8 @@
 		if end.delivery == ebonyworks.Delivered {
 			return end.reply, host.ID
 		}
-		return local(ctx, end.delivery == ebonyworks.DeliveryUnknown), d.Self.ID
+		mayHaveRun := end.delivery == ebonyworks.DeliveryUnknown
+		return truthful(local(ctx, mayHaveRun), mayHaveRun), d.Self.ID
 	case <-fallback.C:
 	case <-ctx.Done():
 		return ebonyworks.ForwardReply{Reason: "the caller left"}, host.ID
@@ -91,6 +92,7 @@
 	own := make(chan ebonyworks.ForwardReply, 1)
 	go func() { own <- local(ctx, true) }()
 	var last ebonyworks.ForwardReply
+	mayHaveRun := true
 	for range 2 {
 		select {
 		case end := <-replies:
@@ -98,6 +100,7 @@
 			if end.delivery == ebonyworks.Delivered && answered(end.reply) {
 				return end.reply, host.ID
 			}
+			mayHaveRun = !end.provesNotRun()
 		case last = <-own:
 			own = nil
 			if answered(last) {
@@ -105,11 +108,22 @@
 			}
 		}
 	}
-	if last.Kind == ebonyworks.ReplyRefused {
-		// The other host may have run it.
-		last.Kind = ebonyworks.ReplyFailed
+	return truthful(last, mayHaveRun), d.Self.ID
+}
+
+// provesNotRun reports whether the other host didn't run the request.
+func (d delegated) provesNotRun() bool {
+	return d.delivery == ebonyworks.NotDelivered ||
+		d.delivery == ebonyworks.Delivered && d.reply.Kind == ebonyworks.ReplyRefused
+}
+
+// truthful turns a refusal, which says that the request has not run, into a
+// failure if another host may have run it.
+func truthful(reply ebonyworks.ForwardReply, mayHaveRun bool) ebonyworks.ForwardReply {
+	if mayHaveRun && reply.Kind == ebonyworks.ReplyRefused {
+		reply.Kind = ebonyworks.ReplyFailed
 	}
-	return last, d.Self.ID
+	return reply
 }
 
 func answered(reply ebonyworks.ForwardReply) bool {
--- a/coordination/delegation/delegator_test.go
+++ b/coordination/delegation/delegator_test.go
@@ -150,6 +150,36 @@
 	})
 }
 
+// Guards against a false claim that a request has not run, and against a failure
+// in its place although neither host ran it.
+func TestRefusalIsTrue(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		takes    time.Duration
+		other    ebonyworks.ReplyKind
+		delivery ebonyworks.Delivery
+		want     ebonyworks.ReplyKind
+	}{
+		{"not delivered", 0, ebonyworks.ReplyFailed, ebonyworks.NotDelivered, ebonyworks.ReplyRefused},
+		{"no answer", 0, ebonyworks.ReplyFailed, ebonyworks.DeliveryUnknown, ebonyworks.ReplyFailed},
+		{"no answer, late", 2 * target, ebonyworks.ReplyFailed, ebonyworks.DeliveryUnknown, ebonyworks.ReplyFailed},
+		{"failed, late", 2 * target, ebonyworks.ReplyFailed, ebonyworks.Delivered, ebonyworks.ReplyFailed},
+		{"refused, late", 2 * target, ebonyworks.ReplyRefused, ebonyworks.Delivered, ebonyworks.ReplyRefused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				delegator, others := newDelegator(ebonyworks.Host{ID: "large", Capacity: 0.8})
+				others.answer = func(context.Context, ebonyworks.HostID) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+					time.Sleep(test.takes)
+					return ebonyworks.ForwardReply{Kind: test.other}, test.delivery
+				}
+				reply, _, _ := ask(delegator, &runner{kind: ebonyworks.ReplyRefused})
+				assert.Equal(t, test.want, reply.Kind)
+			})
+		})
+	}
+}
+
 // Guards against a claim that a request didn't run although the other host may
 // have run it, and against an answer of that host that is thrown away.
 func TestLateHostMayHaveRun(t *testing.T) {
