Bound the requests that run at a time while answers are late and servers crowded

No single wait is long there: each of 90 parts waits in a short queue, and the slowest 86 of them take longer than the target. Admission by predicted waits can't see that. Late answers also waited 150 ms more for their last shards (p50 of the answers 270 and 210 ms, the targets plus 150 ms). Ruled out: processor time of the hosts (0.3 of 0.8 cores on the busiest), repeats (3% of the attempts), connections over the cap. Requests of a route that run at a time on a host are now bounded after a late answer, down by a fifth and up by one for each round in time, only while queues stand at a fifth of the chosen servers. Late answers of crowded servers are sent once the lower bound is met.

--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -70,6 +70,14 @@
 	Yields(service ebonyworks.ServiceID, priority int) bool
 }
 
+// Pacer bounds the requests that run at a time while servers are crowded.
+type Pacer interface {
+	// Begin reports whether one more request may run, and counts it.
+	Begin(route ebonyworks.RouteID, crowded bool) bool
+	// End ends a request that Begin counted.
+	End(route ebonyworks.RouteID, crowded, late bool)
+}
+
 // Observer receives the end of each request and attempt. It doesn't block.
 type Observer interface {
 	// AttemptEnded is called once for each attempt.
@@ -99,6 +107,7 @@
 	Repeats    Repeats
 	Delays     Delays
 	Precedence Precedence
+	Pacer      Pacer
 	Backend    ebonyworks.ForwardBackend
 	Inspection ebonyworks.Inspection
 	Observer   Observer
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -41,6 +41,8 @@
 	first   int
 	// wait is the predicted wait of the first attempt for its permit.
 	wait time.Duration
+	// crowded is set if a queue stands at the chosen server.
+	crowded bool
 	// starved is set if a repeat was needed and not allowed.
 	starved bool
 }
@@ -85,7 +87,8 @@
 	}
 	l.first = index
 	l.wait = l.run.forwarder.Quota.PredictedWait(l.offered[index].Server.ID)
-	return queueing.accepts(l.wait, crowded(&l.offered[index], l.view.Slots))
+	l.crowded = crowded(&l.offered[index], l.view.Slots)
+	return queueing.accepts(l.wait, l.crowded)
 }
 
 // startFirst starts the first attempt that prepare chose, and a copy of the
--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -15,6 +15,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/allowance"
 	"github.com/ebonyworks/ebonyworks/coordination/delay"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/coordination/pacing"
 	"github.com/ebonyworks/ebonyworks/coordination/precedence"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/coordination/selection"
@@ -70,6 +71,7 @@
 			Repeats:    allowance.New(repeatBound, fleetHosts),
 			Delays:     &delay.Estimator{},
 			Precedence: &precedence.Balance{},
+			Pacer:      &pacing.Pacer{},
 		})
 	}
 	return f
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -58,6 +58,9 @@
 	// repeat is set if another host may have run the request, so that all
 	// attempts are repeats.
 	repeat bool
+	// crowded is set if queues stand at many of the chosen servers, and paced if
+	// the request was turned away because of that.
+	crowded, paced bool
 	// yielded is set if the request was turned away in favor of more urgent ones.
 	yielded    bool
 	hedgeDelay time.Duration
@@ -86,6 +89,7 @@
 		needed: route.MinParts(),
 		target: request.Arrival.Add(route.TargetLatency),
 		early:  request.Arrival.Add(sealTime(route.TargetLatency, relayed)),
+		grace:  lateGrace,
 	}
 	request.Merged = route.Scattered()
 	legs := make([]leg, len(needed))
@@ -122,6 +126,7 @@
 	if !r.admit(now) {
 		return r.unanswered(now)
 	}
+	defer r.leave()
 	r.hedgeDelay, r.mayHedge = r.forwarder.Delays.Delay(r.route.ID, r.route.TargetLatency)
 	for _, leg := range r.legs {
 		if !r.repeat {
@@ -170,7 +175,7 @@
 		usual:         r.usual,
 		unloaded:      r.unloaded,
 	}
-	expected, waiting := 0, 0
+	expected, waiting, full := 0, 0, 0
 	for _, leg := range r.legs {
 		if leg.prepare(queueing) {
 			expected++
@@ -178,6 +183,13 @@
 		if leg.wait > 0 {
 			waiting++
 		}
+		if leg.crowded {
+			full++
+		}
+	}
+	r.crowded = contended(full, len(r.legs))
+	if r.crowded {
+		r.seal.grace = 0
 	}
 	taken := expected >= r.seal.needed
 	service, precedence := r.legs[0].id, r.forwarder.Precedence
@@ -185,10 +197,21 @@
 		r.yielded = true
 		taken = false
 	}
-	precedence.Count(service, r.route.Priority, !taken && waiting > 0)
+	if taken && !r.forwarder.Pacer.Begin(r.route.ID, r.crowded) {
+		r.paced = true
+		taken = false
+	}
+	precedence.Count(service, r.route.Priority, !taken && (waiting > 0 || r.paced))
 	return taken
 }
 
+// leave ends the request's place among those that run. Answers that are late
+// without any queue say nothing about load.
+func (r *run) leave() {
+	late := time.Now().After(r.seal.target) && r.unloaded > 0 && r.unloaded < r.route.TargetLatency
+	r.forwarder.Pacer.End(r.route.ID, r.crowded, late)
+}
+
 // judge records the servers that went away under a request that no server has
 // completed. A request that was completed didn't crash them.
 func (r *run) judge() {
@@ -394,6 +417,9 @@
 // reason returns the reason of the first leg without a response, or of the one
 // with the longest wait if nothing was started.
 func (r *run) reason() string {
+	if r.paced {
+		return "the servers of route " + string(r.route.ID) + " are overloaded: answers are late"
+	}
 	if r.yielded {
 		return "service " + string(r.legs[0].id) + " is overloaded: more urgent requests are turned away more often"
 	}
--- a/coordination/fanout/seal.go
+++ b/coordination/fanout/seal.go
@@ -13,7 +13,7 @@
 	// relayTime is left besides if another host passes the answer on.
 	relayTime = 5 * time.Millisecond
 	// lateGrace is how long an answer that is late already waits for its last
-	// shards. Pauses of servers end within this time.
+	// shards, unless queues stand at the servers. Pauses end within this time.
 	lateGrace = 150 * time.Millisecond
 )
 
@@ -45,6 +45,8 @@
 	// early is when an answer has to be sent to arrive in time, and target the
 	// end of the target latency.
 	early, target time.Time
+	// grace is how long a late answer waits for its last shards.
+	grace time.Duration
 }
 
 // decide takes the number of parts that are in and of shards that may still
@@ -59,7 +61,7 @@
 		return sealLater
 	case !now.Before(s.early) && now.Before(s.target):
 		return sealNow
-	case !now.Before(s.target.Add(lateGrace)):
+	case !now.Before(s.target.Add(s.grace)):
 		return sealNow
 	default:
 		return sealLater
@@ -69,7 +71,7 @@
 // next returns the next time at which the decision can change by itself, or a
 // time far away.
 func (s sealing) next(now time.Time) time.Time {
-	for _, at := range []time.Time{s.early, s.target.Add(lateGrace)} {
+	for _, at := range []time.Time{s.early, s.target.Add(s.grace)} {
 		if now.Before(at) {
 			return at
 		}
--- a/coordination/fanout/world_test.go
+++ b/coordination/fanout/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/delay"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/pacing"
 	"github.com/ebonyworks/ebonyworks/coordination/precedence"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
@@ -125,6 +126,7 @@
 		Repeats:    allowance.New(repeatBound, 1),
 		Delays:     &delay.Estimator{},
 		Precedence: &precedence.Balance{},
+		Pacer:      &pacing.Pacer{},
 		Backend:    w,
 		Inspection: w.inspector,
 		Observer:   w,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/guild"
 	"github.com/ebonyworks/ebonyworks/coordination/inspection"
+	"github.com/ebonyworks/ebonyworks/coordination/pacing"
 	"github.com/ebonyworks/ebonyworks/coordination/precedence"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/coordination/registry"
@@ -77,6 +78,7 @@
 	repeats    *allowance.Ledger
 	delays     *delay.Estimator
 	precedence *precedence.Balance
+	pacer      *pacing.Pacer
 	forwarder  *fanout.Forwarder
 	guild      *guild.Guild
 	inspector  *inspection.Inspector
@@ -111,6 +113,7 @@
 		repeats:    allowance.New(options.Repeats, assumedHosts),
 		delays:     &delay.Estimator{},
 		precedence: &precedence.Balance{},
+		pacer:      &pacing.Pacer{},
 		subset:     subset.Chooser{Host: options.Self.ID, Domain: options.Self.Domain},
 		fleet:      fleet{alone: !othersSeeded(options.Self.Address, options.Seeds)},
 	}
@@ -144,6 +147,7 @@
 		Repeats:    g.repeats,
 		Delays:     g.delays,
 		Precedence: g.precedence,
+		Pacer:      g.pacer,
 		Backend:    options.Backend,
 		Inspection: g.inspector,
 		Observer:   options.Observer,
@@ -263,6 +267,7 @@
 		}
 	}
 	g.delays.Retain(routes)
+	g.pacer.Retain(routes)
 	g.repeats.Retain(services)
 	g.precedence.Retain(services)
 }
