--- a/gateway/server.go
+++ b/gateway/server.go
@@ -171,33 +171,33 @@
 	left := max(s.Grace-exitMargin-time.Since(begin), minDrainTime)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	s.Gateway.Leave(ctx)
 	s.mutex.Lock()
 	servers := append([]*http.Server{s.current}, s.retired...)
 	s.mutex.Unlock()
 	var draining sync.WaitGroup
 	for _, server := range servers {
-		if server == nil {
-			continue
+		if server != nil {
+			draining.Go(func() { s.drain(ctx, server) })
 		}
-		draining.Add(1)
-		go func() {
-			defer draining.Done()
-			if err := server.Shutdown(ctx); err != nil {
-				s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
-			}
-		}()
 	}
-	draining.Wait()
-	s.Gateway.Leave(ctx)
 	if s.delegated != nil {
 		// Requests that smaller hosts delegated before the stop are in flight.
-		if err := s.delegated.Shutdown(ctx); err != nil {
-			s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
-		}
+		draining.Go(func() { s.drain(ctx, s.delegated) })
 	}
+	draining.Wait()
 	s.record(event.ProcessStopped, event.Attribute("Elapsed", time.Since(begin).String()))
 }
 
+// drain waits for the requests in flight at a listener.
+func (s *Server) drain(ctx context.Context, server interface {
+	Shutdown(ctx context.Context) error
+}) {
+	if err := server.Shutdown(ctx); err != nil {
+		s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
+	}
+}
+
 func (s *Server) record(id ebonyworks.EventID, attributes ...ebonyworks.Attribute) {
 	if s.Recorder != nil {
 		s.Recorder.Record(event.New(id, attributes...))
