Share the exit statuses of the tools with ebonyd; advise blocked requests by their block

The gateway told callers of a request that may crash servers to come back after 5 s, though it stays refused for up to a minute. It passes on the inspector's time now. ebonyd had its own errors and exit statuses beside the package usage.

--- a/coordination/fanout/fanout_test.go
+++ b/coordination/fanout/fanout_test.go
@@ -246,6 +246,7 @@
 			reply, elapsed := w.ask("/all/deadly")
 			assert.Equal(t, ebonyworks.ReplyRefused, reply.Kind)
 			assert.Zero(t, elapsed)
+			assert.Greater(t, reply.RetryAfter, 50*time.Second, "the request is refused for a minute")
 		}
 		assert.Len(t, w.reached(), first)
 		reply, _ = w.ask("/all/harmless")
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -30,8 +30,6 @@
 	minServerTime = 5 * time.Millisecond
 	// sparePart is the part of the legs for whose further attempts room is made.
 	sparePart = 8
-	// blockedRetryAfter is the advice for requests that crash servers.
-	blockedRetryAfter = 5 * time.Second
 )
 
 // run is one request. Its state belongs to the goroutine of do; attempts report
@@ -162,7 +160,7 @@
 	if verdict != ebonyworks.RunNone {
 		return ebonyworks.ForwardReply{}, false
 	}
-	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: refusal.Message, RetryAfter: blockedRetryAfter}, true
+	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: refusal.Message, RetryAfter: refusal.RetryAfter}, true
 }
 
 // admit chooses the servers of the first attempts, and reports whether enough of
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -9,35 +9,12 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/settings"
+	"github.com/ebonyworks/ebonyworks/usage"
 )
 
-// Exit statuses of the process.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitInvalid = 2
-)
-
-// invalidSettingsError lists every mistake of a settings file.
-type invalidSettingsError struct {
-	path     string
-	problems []ebonyworks.Problem
-}
-
-// Error returns one line for each mistake.
-func (e *invalidSettingsError) Error() string {
-	text := e.path + ": the settings are invalid"
-	for _, problem := range e.problems {
-		text += fmt.Sprintf("\n  %s: %s", problem.Place, problem.Message)
-	}
-	return text
-}
-
 // Execute runs the command line and returns the exit status: 2 for invalid
 // settings or arguments, 1 for other failures.
 func Execute(arguments []string, out, failures io.Writer) int {
@@ -46,26 +23,12 @@
 	command.SetOut(out)
 	command.SetErr(failures)
 	err := command.Execute()
-	if err == nil {
-		return exitOK
-	}
-	_, _ = fmt.Fprintln(failures, "ebonyd:", err)
-	var invalid *invalidSettingsError
-	var usage *usageError
-	if errors.As(err, &invalid) || errors.As(err, &usage) {
-		return exitInvalid
+	if err != nil {
+		_, _ = fmt.Fprintln(failures, "ebonyd:", err)
 	}
-	return exitFailure
+	return usage.Status(err)
 }
 
-// usageError is a mistake on the command line.
-type usageError struct {
-	err error
-}
-
-// Error returns the mistake.
-func (e *usageError) Error() string { return e.err.Error() }
-
 func newCommand(out io.Writer) *cobra.Command {
 	var path string
 	command := &cobra.Command{
@@ -80,7 +43,7 @@
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "settings file (JSON with comments)")
-	command.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err: err} })
+	command.SetFlagErrorFunc(usage.Mistake)
 	// MarkFlagRequired fails only for flags that don't exist.
 	_ = command.MarkFlagRequired("settings")
 	command.AddCommand(newCheckCommand(out))
@@ -96,7 +59,7 @@
 		RunE: func(_ *cobra.Command, arguments []string) error {
 			_, problems := settings.Load(arguments[0])
 			if len(problems) > 0 {
-				return &invalidSettingsError{path: arguments[0], problems: problems}
+				return &usage.Error{Source: arguments[0], Problems: problems}
 			}
 			_, err := fmt.Fprintln(out, arguments[0]+": ok")
 			return err
@@ -110,7 +73,7 @@
 	}
 	loaded, problems := settings.Load(path)
 	if len(problems) > 0 {
-		return &invalidSettingsError{path: path, problems: problems}
+		return &usage.Error{Source: path, Problems: problems}
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
