Give a silent watch up a second after one message of a peer that knows more

A watch waits for 5.5 s; peers that know more end it only with a second message 2 s after the first, and hosts exchange about once a second. One message is enough now, after a third of the time in which changes have to be in force.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -41,9 +41,10 @@
 	// backlog is the number of changes in one watch from which more are taken to
 	// wait, as after an outage: the store returns some hundred at a time.
 	backlog = 100
-	// behindFactor is how many pauses between watches a peer may be ahead before
-	// the waiting watch is given up.
-	behindFactor = 2
+	// behindPart is the part of the time in which changes have to be in force for
+	// which peers may be ahead before the waiting watch is given up. A watch that
+	// works returns as soon as there is a change.
+	behindPart = 3
 	// peerPatience is how long the store has to be unavailable before peers are
 	// asked. Together with an exchange it is below the 3 s in which changes have
 	// to be in force.
@@ -254,9 +255,18 @@
 		f.behindSince = time.Time{}
 	case asOf <= f.asOf:
 		// The store may turn this peer away. Others can still know more.
-	case f.behindSince.IsZero():
-		f.behindSince = time.Now()
-	case time.Since(f.behindSince) > behindFactor*f.gatherTime() && f.giveUp != nil:
+	case f.behindSince.IsZero() && f.giveUp != nil:
+		since := time.Now()
+		f.behindSince = since
+		time.AfterFunc(f.applyTime()/behindPart, func() { f.stillBehind(since) })
+	}
+}
+
+// stillBehind gives the waiting watch up if it has shown nothing since the time.
+func (f *Follower) stillBehind(since time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.behindSince.Equal(since) {
 		f.behindSince = time.Time{}
 		f.giveUp()
 	}
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -407,3 +407,23 @@
 		assert.Equal(t, 2, revision(follower))
 	})
 }
+
+// Guards against a silent watch that outlasts the time in which changes have to
+// be in force, since peers speak to this host about once a second only.
+func TestOneMessageOfPeerIsEnough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		follower := follow(t, s)
+		time.Sleep(time.Minute)
+		s.set(func() { s.silent = true })
+		s.add(ebonyworks.StoreChange{Removed: "nobody"})
+		time.Sleep(1200 * time.Millisecond)
+		s.set(func() { s.silent = false })
+		s.configure(2)
+		time.Sleep(time.Second)
+		follower.Heard(ebonyworks.StoreRevision(3))
+		time.Sleep(1900 * time.Millisecond)
+		assert.Equal(t, 2, revision(follower))
+	})
+}
