Don't take servers that report no load for crowded

Cause: found while reading the change: a server without load reports counted as crowded, so that one late answer, of whatever cause, bounded the requests that run at a time, and single waits at a few slow shards turned requests away. A server that reports nothing is taken for crowded only while more than a fifth of the legs wait, and never paces.

--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -73,22 +73,29 @@
 // probeReserve is the number of repeats that a probe leaves for hedges.
 const probeReserve = 2
 
-// prepare chooses the server of the first attempt and predicts the wait for its
-// permit. It returns false if the leg can't be expected to respond in time.
-func (l *leg) prepare(queueing queueing) bool {
+// prepare chooses the server of the first attempt, and predicts the wait for its
+// permit.
+func (l *leg) prepare() {
 	if l.view == nil {
-		return false
+		return
 	}
-	l.offered = l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
-	index, ok := l.run.forwarder.Selection.Select(l.offered)
+	offered := l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
+	index, ok := l.run.forwarder.Selection.Select(offered)
 	if !ok {
-		l.offered = nil
+		return
+	}
+	l.offered, l.first = offered, index
+	l.wait = l.run.forwarder.Quota.PredictedWait(offered[index].Server.ID)
+	l.crowded = crowded(&offered[index], l.view.Slots)
+}
+
+// expected reports whether the leg can be expected to respond in time. While many
+// legs wait, a server that reports nothing is taken for crowded.
+func (l *leg) expected(queueing queueing, contended bool) bool {
+	if len(l.offered) == 0 {
 		return false
 	}
-	l.first = index
-	l.wait = l.run.forwarder.Quota.PredictedWait(l.offered[index].Server.ID)
-	l.crowded = crowded(&l.offered[index], l.view.Slots)
-	return queueing.accepts(l.wait, l.crowded)
+	return queueing.accepts(l.wait, l.crowded || contended && l.offered[l.first].Demand == 0)
 }
 
 // startFirst starts the first attempt that prepare chose, and a copy of the
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -45,8 +45,8 @@
 }
 
 // accepts reports whether an attempt starts in spite of the predicted wait for
-// its permit. A wait at a server that isn't crowded has another cause than load,
-// such as a pause, and is left to second attempts.
+// its permit. A wait at a server that can't be crowded has another cause than
+// load, such as a pause, and is left to second attempts.
 func (q queueing) accepts(wait time.Duration, crowded bool) bool {
 	if wait == 0 {
 		return true
@@ -70,9 +70,9 @@
 }
 
 // crowded reports whether a queue stands at the server, by the average of its
-// reports. A server that reports nothing may be crowded.
+// reports.
 func crowded(candidate *ebonyworks.Candidate, slots int) bool {
-	return candidate.Demand == 0 || candidate.Demand >= crowdedPart*float64(slots)
+	return candidate.Demand >= crowdedPart*float64(slots)
 }
 
 // contended reports whether so many legs would wait for a permit that the hosts'
--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -234,3 +234,30 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against requests that are turned away because answers are late for
+// another reason than load: three shards are slow, and servers report no load.
+func TestLateAnswersAreNoOverload(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+			if id < server(3, "a") {
+				return served(150 * time.Millisecond)
+			}
+			return served(usual)
+		})
+		var asking sync.WaitGroup
+		kinds := make(map[ebonyworks.ReplyKind]int)
+		for i := range 60 {
+			time.Sleep(100 * time.Millisecond)
+			asking.Go(func() {
+				reply, _ := w.ask(fmt.Sprintf("/all/%d", i))
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
+				kinds[reply.Kind]++
+			})
+		}
+		asking.Wait()
+		assert.Zero(t, kinds[ebonyworks.ReplyRefused])
+	})
+}
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -173,11 +173,9 @@
 		usual:         r.usual,
 		unloaded:      r.unloaded,
 	}
-	expected, waiting, full := 0, 0, 0
+	waiting, full := 0, 0
 	for _, leg := range r.legs {
-		if leg.prepare(queueing) {
-			expected++
-		}
+		leg.prepare()
 		if leg.wait > 0 {
 			waiting++
 		}
@@ -185,13 +183,20 @@
 			full++
 		}
 	}
+	contends := contended(waiting, len(r.legs))
+	expected := 0
+	for _, leg := range r.legs {
+		if leg.expected(queueing, contends) {
+			expected++
+		}
+	}
 	r.crowded = contended(full, len(r.legs))
 	if r.crowded {
 		r.seal.grace = 0
 	}
 	taken := expected >= r.seal.needed
 	service, precedence := r.legs[0].id, r.forwarder.Precedence
-	if taken && contended(waiting, len(r.legs)) && precedence.Yields(service, r.route.Priority) {
+	if taken && contends && precedence.Yields(service, r.route.Priority) {
 		r.yielded = true
 		taken = false
 	}
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -364,19 +364,27 @@
 	})
 }
 
+// deaf returns a follower whose waiting watch hears nothing of the store, which
+// then gets configuration 2 with revision 3.
+func deaf(t *testing.T) *registry.Follower {
+	t.Helper()
+	s := newStore()
+	s.configure(1)
+	follower := follow(t, s)
+	time.Sleep(time.Minute)
+	s.set(func() { s.silent = true })
+	s.add(ebonyworks.StoreChange{Removed: "nobody"})
+	time.Sleep(1200 * time.Millisecond)
+	s.set(func() { s.silent = false })
+	s.configure(2)
+	return follower
+}
+
 // Guards against a host that doesn't notice that its peers know more while its
 // own watch waits.
 func TestPeersKnowMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStore()
-		s.configure(1)
-		follower := follow(t, s)
-		time.Sleep(time.Minute)
-		s.set(func() { s.silent = true })
-		s.add(ebonyworks.StoreChange{Removed: "nobody"})
-		time.Sleep(1200 * time.Millisecond)
-		s.set(func() { s.silent = false })
-		s.configure(2)
+		follower := deaf(t)
 		for range 5 {
 			follower.Heard(ebonyworks.StoreRevision(3))
 			time.Sleep(time.Second)
@@ -389,15 +397,7 @@
 // them away, for a sign that its own silent watch missed nothing.
 func TestSomePeersKnowLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStore()
-		s.configure(1)
-		follower := follow(t, s)
-		time.Sleep(time.Minute)
-		s.set(func() { s.silent = true })
-		s.add(ebonyworks.StoreChange{Removed: "nobody"})
-		time.Sleep(1200 * time.Millisecond)
-		s.set(func() { s.silent = false })
-		s.configure(2)
+		follower := deaf(t)
 		for range 10 {
 			follower.Heard(ebonyworks.StoreRevision(3))
 			time.Sleep(150 * time.Millisecond)
@@ -412,15 +412,7 @@
 // be in force, since peers speak to this host about once a second only.
 func TestOneMessageOfPeerIsEnough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newStore()
-		s.configure(1)
-		follower := follow(t, s)
-		time.Sleep(time.Minute)
-		s.set(func() { s.silent = true })
-		s.add(ebonyworks.StoreChange{Removed: "nobody"})
-		time.Sleep(1200 * time.Millisecond)
-		s.set(func() { s.silent = false })
-		s.configure(2)
+		follower := deaf(t)
 		time.Sleep(time.Second)
 		follower.Heard(ebonyworks.StoreRevision(3))
 		time.Sleep(1900 * time.Millisecond)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -146,8 +146,8 @@
 func (h *Host) report(g gauges, out metric.Observer) {
 	status := h.Status()
 	out.ObserveInt64(g.revision, int64(status.Mark.Revision))
-	out.ObserveInt64(g.stale, flag(status.Stale))
-	out.ObserveInt64(g.ready, flag(status.Ready))
+	out.ObserveInt64(g.stale, instrument.Flag(status.Stale))
+	out.ObserveInt64(g.ready, instrument.Flag(status.Ready))
 	out.ObserveInt64(g.calls, int64(status.PlatformCalls))
 	members := make(map[ebonyworks.MemberState]int64)
 	for _, member := range status.Peers {
@@ -206,10 +206,3 @@
 func label(name, value string) metric.ObserveOption {
 	return metric.WithAttributes(attribute.String(name, value))
 }
-
-func flag(set bool) int64 {
-	if set {
-		return 1
-	}
-	return 0
-}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,7 +28,7 @@
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, out metric.Observer) error {
 		out.ObserveInt64(revision, int64(g.revision()))
-		out.ObserveInt64(ready, flag(g.Ready()))
+		out.ObserveInt64(ready, instrument.Flag(g.Ready()))
 		out.ObserveInt64(hosts, int64(g.fleet.Hosts()))
 		out.ObserveInt64(quarantined, int64(g.inspector.Blocked()))
 		if g.options.Connections != nil {
@@ -50,10 +50,3 @@
 	}
 	return table.Configuration().Revision
 }
-
-func flag(set bool) int64 {
-	if set {
-		return 1
-	}
-	return 0
-}
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -85,3 +85,11 @@
 		{Name: Opened, Kind: Counter},
 	}
 }
+
+// Flag returns the value of a gauge that tells whether something is set.
+func Flag(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
