Explain refusals in the log by the inputs of the decision

A request that was turned away listed all its shards as missed, with 'no server ... is usable' for those that were fine, and didn't say what decided. The line now has the counts, the tolerated wait, the latencies and the refused share, and names only the shards that were the cause. Hedging is no longer called paused for requests that made no attempt.

--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -41,8 +41,9 @@
 	first   int
 	// wait is the predicted wait of the first attempt for its permit.
 	wait time.Duration
-	// crowded is set if a queue stands at the chosen server.
-	crowded bool
+	// crowded is set if a queue stands at the chosen server, and hopeless if the
+	// leg couldn't be expected to respond in time.
+	crowded, hopeless bool
 	// starved is set if a repeat was needed and not allowed.
 	starved bool
 }
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,6 +70,12 @@
 	return max(time.Duration(queuePart*float64(q.untilTarget-q.usual)), q.unloaded)
 }
 
+// String returns the bound and its inputs for the log.
+func (q queueing) String() string {
+	const precision = 100 * time.Microsecond
+	return fmt.Sprintf("tolerated %s, usual %s, unloaded %s", q.tolerated(q.untilDeadline-q.usual).Round(precision), q.usual.Round(precision), q.unloaded.Round(precision))
+}
+
 // crowded reports whether a queue stands at the server, by the average of its
 // reports.
 func crowded(candidate *ebonyworks.Candidate, slots int) bool {
--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -261,3 +262,26 @@
 		assert.Zero(t, kinds[ebonyworks.ReplyRefused])
 	})
 }
+
+// Guards against a refusal that can't be explained from the log: the line names
+// the inputs of the decision, and only the shards that were its cause.
+func TestRefusalIsExplained(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		for i := range 4 {
+			for _, replica := range []string{"a", "b"} {
+				w.directory.Remove(server(i, replica), 9, time.Time{})
+			}
+		}
+		w.mutex.Lock()
+		w.reports = nil
+		w.mutex.Unlock()
+		reply, _ := w.ask("/all/1")
+		assert.Equal(t, ebonyworks.ReplyRefused, reply.Kind)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		assert.Contains(t, w.reports[0].Refusal, "expected 16 of 20, needed 18; waiting 0, crowded 0")
+		assert.Contains(t, w.reports[0].Refusal, "usual 10ms")
+		assert.Equal(t, 4, strings.Count(w.reports[0].Missed, "no server of service"))
+	})
+}
--- a/coordination/fanout/report.go
+++ b/coordination/fanout/report.go
@@ -32,7 +32,11 @@
 	// HedgeDelay is the delay in force, and MayHedge if hedges were allowed.
 	HedgeDelay time.Duration
 	MayHedge   bool
-	// Missed lists the reasons of the legs without a response.
+	// Refusal holds the inputs of the decision to turn the request away; empty if
+	// it was taken on.
+	Refusal string
+	// Missed lists the reasons of the legs without a response. If the request was
+	// turned away, these are the ones that couldn't be expected to respond.
 	Missed string
 	// Notable lists the attempts that were no plain success at the first try.
 	Notable string
@@ -57,6 +61,7 @@
 		Target:     r.route.TargetLatency,
 		HedgeDelay: r.hedgeDelay,
 		MayHedge:   r.mayHedge,
+		Refusal:    r.refusal,
 		Missed:     r.missed(),
 		Notable:    r.notable(),
 	}
@@ -98,7 +103,7 @@
 func (r *run) missed() string {
 	var reasons []string
 	for _, leg := range r.legs {
-		if leg.done {
+		if leg.done || r.refusal != "" && !leg.hopeless {
 			continue
 		}
 		if len(reasons) == maxNotable {
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -56,6 +57,9 @@
 	// repeat is set if another host may have run the request, so that all
 	// attempts are repeats.
 	repeat bool
+	// refusal holds the inputs of the decision to turn the request away; empty if
+	// it was taken on.
+	refusal string
 	// crowded is set if queues stand at many of the chosen servers, and paced if
 	// the request was turned away because of that.
 	crowded, paced bool
@@ -186,7 +190,8 @@
 	contends := contended(waiting, len(r.legs))
 	expected := 0
 	for _, leg := range r.legs {
-		if leg.expected(queueing, contends) {
+		leg.hopeless = !leg.expected(queueing, contends)
+		if !leg.hopeless {
 			expected++
 		}
 	}
@@ -205,6 +210,10 @@
 		taken = false
 	}
 	precedence.Count(service, r.route.Priority, !taken && (waiting > 0 || r.paced))
+	if !taken {
+		r.refusal = fmt.Sprintf("expected %d of %d, needed %d; waiting %d, crowded %d; %s; refused %.2f",
+			expected, len(r.legs), r.seal.needed, waiting, full, queueing, precedence.Refused(service, r.route.Priority))
+	}
 	return taken
 }
 
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -67,7 +67,7 @@
 		event.Attribute("Attempts", strconv.Itoa(report.Attempts)),
 		event.Attribute("HedgeDelayMs", milliseconds(report.HedgeDelay)),
 	}
-	if !report.MayHedge {
+	if !report.MayHedge && report.Attempts > 0 {
 		attributes = append(attributes, event.Attribute("Hedging", "paused: overload"))
 	}
 	if report.Status != 0 {
@@ -76,6 +76,9 @@
 	if report.Reason != "" {
 		attributes = append(attributes, event.Attribute("Reason", report.Reason))
 	}
+	if report.Refusal != "" {
+		attributes = append(attributes, event.Attribute("Refusal", report.Refusal))
+	}
 	if report.Missed != "" {
 		attributes = append(attributes, event.Attribute("Missed", report.Missed))
 	}
