List requests that reach a third server after a late larger host

Cause: the smaller host's fallback counts its own attempts only, up to MaxAttempts, though the larger host made up to as many.

--- a/coordination/fanout/faults_test.go
+++ b/coordination/fanout/faults_test.go
@@ -1,8 +1,10 @@
 package fanout_test
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/delegation"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
 )
 
@@ -174,3 +178,46 @@
 		assert.Less(t, count, 50*shardCount*11/10)
 	})
 }
+
+// lateHost runs each request on another host and, as after its target latency
+// without an answer, on this one.
+type lateHost struct {
+	other *fanout.Forwarder
+}
+
+func (l lateHost) Run(ctx context.Context, request *ebonyworks.ForwardRequest, _ time.Duration, revision ebonyworks.Revision, local delegation.Runner) (ebonyworks.ForwardReply, ebonyworks.HostID) {
+	copied := *request
+	go l.other.ForwardFor(ctx, &copied, revision)
+	time.Sleep(target)
+	return local(ctx, true), "self"
+}
+
+// Guards against a request that reaches more servers of a shard than its route
+// allows, since a larger host that is late has made second attempts, too.
+func TestFallbackKeepsMaxAttempts(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		for i := range shardCount {
+			w.directory.Put(ebonyworks.Registration{
+				Server:  ebonyworks.Server{ID: server(i, "c"), Address: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "c"},
+				Service: shard(i), Slots: 2,
+			}, 2)
+		}
+		w.warmUp()
+		w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+			if strings.HasPrefix(string(id), "shard-03") {
+				return served(10 * target)
+			}
+			return served(usual)
+		})
+		other := *w.Forwarder
+		w.Delegation = lateHost{&other}
+		w.ask("/all/1")
+		reached := 0
+		for id := range w.reached() {
+			if strings.HasPrefix(string(id), "shard-03") {
+				reached++
+			}
+		}
+		assert.LessOrEqual(t, reached, 2, "MaxAttempts of the route")
+	})
+}
