Let the inspector be the store of crash reports itself

The gateway repeated the adapter of entry hosts, crashStore, which only renamed Merge to Learn. The interface in guild uses the inspector's own name now, and both adapters go. No change of behavior.

--- a/coordination/guild/crash.go
+++ b/coordination/guild/crash.go
@@ -13,8 +13,8 @@
 type CrashStore interface {
 	// Reports returns the reports worth sending, the most important first.
 	Reports() []ebonyworks.CrashReport
-	// Learn takes the reports of another host.
-	Learn(reports []ebonyworks.CrashReport)
+	// Merge learns the reports of another host.
+	Merge(reports []ebonyworks.CrashReport)
 }
 
 // CrashCarrier is a Contributor that carries the reports of a CrashStore.
@@ -37,7 +37,7 @@
 // Receive hands the reports to the store.
 func (c CrashCarrier) Receive(message ebonyworks.Exchange, _ time.Time) {
 	if len(message.Crashes) > 0 {
-		c.Book.Learn(message.Crashes)
+		c.Book.Merge(message.Crashes)
 	}
 }
 
--- a/coordination/guild/guild_test.go
+++ b/coordination/guild/guild_test.go
@@ -322,7 +322,7 @@
 type crashes struct{ reports, learned []ebonyworks.CrashReport }
 
 func (c *crashes) Reports() []ebonyworks.CrashReport      { return c.reports }
-func (c *crashes) Learn(reports []ebonyworks.CrashReport) { c.learned = append(c.learned, reports...) }
+func (c *crashes) Merge(reports []ebonyworks.CrashReport) { c.learned = append(c.learned, reports...) }
 
 // Guards against crash reports that don't travel, and against messages that
 // grow without bound.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,7 +161,7 @@
 	h.inspector = &inspection.Inspector{Publish: h.reporter.Publish, Recorder: h.options.Recorder}
 	h.guild.Attach(h.bulletin)
 	h.guild.Attach(h.departures)
-	h.guild.Attach(guild.CrashCarrier{Book: crashStore{h.inspector}})
+	h.guild.Attach(guild.CrashCarrier{Book: h.inspector})
 	h.guild.Attach(staleMarker{h})
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
-	"github.com/ebonyworks/ebonyworks/coordination/inspection"
 )
 
 var _ ebonyworks.PeerHandler = (*Host)(nil)
@@ -52,17 +51,6 @@
 	return nil
 }
 
-// crashStore gives the reports of the inspection to exchanges.
-type crashStore struct {
-	inspector *inspection.Inspector
-}
-
-// Reports returns the reports worth sending.
-func (b crashStore) Reports() []ebonyworks.CrashReport { return b.inspector.Reports() }
-
-// Learn takes the reports of another host.
-func (b crashStore) Learn(reports []ebonyworks.CrashReport) { b.inspector.Merge(reports) }
-
 // staleMarker marks the facts about servers as stale after a pause of the process.
 type staleMarker struct {
 	host *Host
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.reporter = inspection.NewReporter(options.Peer, g.guild.Alive)
 	g.inspector = &inspection.Inspector{Publish: g.reporter.Publish, Recorder: options.Recorder}
 	g.guild.Attach(viewCarrier{g})
-	g.guild.Attach(guild.CrashCarrier{Book: crashStore{g.inspector}})
+	g.guild.Attach(guild.CrashCarrier{Book: g.inspector})
 	g.follower = &registry.Follower{
 		Store:     options.Store,
 		Directory: g.directory,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/ebonyworks/ebonyworks"
-	"github.com/ebonyworks/ebonyworks/coordination/inspection"
 	"github.com/ebonyworks/ebonyworks/event"
 	"github.com/ebonyworks/ebonyworks/protocol/bundle"
 )
@@ -137,14 +136,3 @@
 			event.Attribute("Error", err.Error())))
 	}
 }
-
-// crashStore gives the reports of the inspection to exchanges.
-type crashStore struct {
-	inspector *inspection.Inspector
-}
-
-// Reports returns the reports worth sending.
-func (b crashStore) Reports() []ebonyworks.CrashReport { return b.inspector.Reports() }
-
-// Learn takes the reports of another host.
-func (b crashStore) Learn(reports []ebonyworks.CrashReport) { b.inspector.Merge(reports) }
