Build the view of a service from its own servers only

Each registration walked over all servers to rebuild one service, so a listing cost the square of its length, at each start and after each lost history. The directory keeps the servers by service as well. A listing also told the gateway twice that something had changed, which makes it look over all servers and routes; it tells once now. No other change of behavior.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -280,12 +280,19 @@
 		}
 	}
 	changes := f.Directory.Missing(listed, listing.AsOf, f.keepUntil())
-	f.apply(listing.Changes)
+	f.applyEach(listing.Changes)
 	f.departed(changes)
 	f.changed()
 }
 
 func (f *Follower) apply(changes []ebonyworks.StoreChange) {
+	f.applyEach(changes)
+	if len(changes) > 0 {
+		f.changed()
+	}
+}
+
+func (f *Follower) applyEach(changes []ebonyworks.StoreChange) {
 	for _, change := range changes {
 		switch {
 		case change.Configuration != nil:
@@ -300,9 +307,6 @@
 			}
 		}
 	}
-	if len(changes) > 0 {
-		f.changed()
-	}
 }
 
 // accept puts a configuration in force unless it is older than the one that
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -24,8 +24,10 @@
 // is usable.
 type Directory struct {
 	mutex sync.RWMutex
-	// servers has at most MaxServers entries.
+	// servers has at most MaxServers entries, and members the same ones by
+	// service.
 	servers map[ebonyworks.ServerID]*entry
+	members map[ebonyworks.ServiceID]map[ebonyworks.ServerID]*entry
 	// services are immutable views of the servers in use. They are built anew
 	// when a registration of the service changes.
 	services map[ebonyworks.ServiceID]*ebonyworks.Service
@@ -59,9 +61,6 @@
 func (d *Directory) Put(registration ebonyworks.Registration, revision ebonyworks.StoreRevision) (Change, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.servers == nil {
-		d.servers = make(map[ebonyworks.ServerID]*entry)
-	}
 	known := d.servers[registration.Server.ID]
 	if known != nil && (revision < known.revision || registration.Incarnation < known.registration.Incarnation) {
 		return Change{}, false
@@ -71,18 +70,14 @@
 	}
 	fresh := known == nil || registration.Incarnation > known.registration.Incarnation
 	changed := fresh || known.removed || differs(known.registration, registration)
-	var before ebonyworks.ServiceID
-	if known != nil {
-		before = known.registration.Service
+	if known != nil && known.registration.Service != registration.Service {
+		d.drop(registration.Server.ID, known)
 	}
-	d.servers[registration.Server.ID] = &entry{registration: registration, revision: revision}
+	d.keep(&entry{registration: registration, revision: revision})
 	if !changed {
 		return Change{}, false
 	}
 	d.rebuild(registration.Service)
-	if before != "" && before != registration.Service {
-		d.rebuild(before)
-	}
 	return Change{Registration: registration, Usable: !registration.Leaving, New: fresh}, true
 }
 
@@ -221,17 +216,35 @@
 	}
 }
 
+func (d *Directory) keep(added *entry) {
+	id, service := added.registration.Server.ID, added.registration.Service
+	if d.servers == nil {
+		d.servers = make(map[ebonyworks.ServerID]*entry)
+		d.members = make(map[ebonyworks.ServiceID]map[ebonyworks.ServerID]*entry)
+	}
+	if d.members[service] == nil {
+		d.members[service] = make(map[ebonyworks.ServerID]*entry)
+	}
+	d.servers[id] = added
+	d.members[service][id] = added
+}
+
 func (d *Directory) drop(id ebonyworks.ServerID, known *entry) Change {
+	service := known.registration.Service
 	delete(d.servers, id)
-	d.rebuild(known.registration.Service)
+	delete(d.members[service], id)
+	if len(d.members[service]) == 0 {
+		delete(d.members, service)
+	}
+	d.rebuild(service)
 	return Change{Registration: known.registration}
 }
 
 // rebuild makes a new view of the servers in use of the service.
 func (d *Directory) rebuild(id ebonyworks.ServiceID) {
 	view := &ebonyworks.Service{ID: id, Slots: defaultSlots, ConnectionCap: d.caps[id]}
-	for _, known := range d.servers {
-		if known.registration.Service != id || known.registration.Leaving {
+	for _, known := range d.members[id] {
+		if known.registration.Leaving {
 			continue
 		}
 		view.Servers = append(view.Servers, known.registration.Server)
