Keep the inputs of admission in one place; share the advice to refused callers

The gateway had written the searches' Retry-After again (growth with the refused share, the same bounds and spread): both call pressure.ReturnTime now. The inputs of the decision on a request stood in eight fields of the run and in a text made for each refusal; they are one value, which makes its text when it is reported, with the tolerated wait as it was applied (the deadline bounds it, too; the text left that out). The contexts and the timer of attempts are made after the decision, so that a refusal, which is frequent in overload, doesn't pay for them. The recheck time of hedges and the refused share of a priority had two copies each.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
-	"math"
 	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/pressure"
 )
 
 const (
@@ -17,15 +17,10 @@
 	// MaxQueue bounds the requests that wait for one route.
 	MaxQueue = 256
 
-	// minRetryAfter and maxRetryAfter bound what callers are told. The upper
-	// bound is in the order of the drain and restart times of a fleet, so that
-	// callers don't stay away for long after a short overload.
-	minRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter bounds what callers are told. It is in the order of the drain
+	// and restart times of a fleet, so that callers don't stay away for long after
+	// a short overload.
 	maxRetryAfter = 10 * time.Second
-	// maxPressure bounds the growth of the retry-after time by refusals to a
-	// factor of 4. With a factor of 20, refused callers of a short overload
-	// came back over the next 9 s and kept the service full.
-	maxPressure = 0.75
 )
 
 // Gate admits requests up to an adaptive limit for each route, and shares a
@@ -97,7 +92,7 @@
 	}
 	through := g.open(route.ID)
 	if through == nil {
-		return nil, g.refuse(minRetryAfter, 0)
+		return nil, g.refuse(0, 0)
 	}
 	patience, ok := through.patience(id, deadline, now)
 	if !ok {
@@ -154,20 +149,15 @@
 }
 
 // refuse returns a refusal whose retry-after time starts from the time of one
-// round of requests, after which there is room again, and grows with the share
-// of requests that are refused: if all callers came back at a fixed interval,
-// each refusal would add to the load of the next interval.
-func (g *Gate) refuse(round time.Duration, pressure float64) *ebonyworks.Refusal {
+// round of requests, after which there is room again.
+func (g *Gate) refuse(round time.Duration, refused float64) *ebonyworks.Refusal {
 	if g.random == nil {
 		g.random = mathrand.New(mathrand.NewPCG(1, 2))
 	}
-	base := float64(max(round, minRetryAfter)) / (1 - min(pressure, maxPressure))
-	jitter := 0.5 + g.random.Float64()
-	after := time.Duration(math.Min(base*jitter, float64(maxRetryAfter)))
 	return &ebonyworks.Refusal{
 		Code:       ebonyworks.RefusedOverload,
 		Message:    "the request can't be completed in time at the current load",
-		RetryAfter: max(after, minRetryAfter/2),
+		RetryAfter: min(pressure.ReturnTime(round, refused, g.random.Float64()), maxRetryAfter),
 	}
 }
 
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -180,8 +180,7 @@
 }
 
 func (f *Forwarder) run(ctx context.Context, request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, from origin) ebonyworks.ForwardReply {
-	run := f.newRun(request, route, revision, from.relayed)
-	run.repeat = from.repeat
+	run := f.newRun(request, route, revision, from)
 	reply := run.do(ctx)
 	if f.Observer != nil {
 		f.Observer.Forwarded(run.report(reply))
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -92,11 +92,11 @@
 
 // expected reports whether the leg can be expected to respond in time. While many
 // legs wait, a server that reports nothing is taken for crowded.
-func (l *leg) expected(queueing queueing, contended bool) bool {
+func (l *leg) expected(admission *admission) bool {
 	if len(l.offered) == 0 {
 		return false
 	}
-	return queueing.accepts(l.wait, l.crowded || contended && l.offered[l.first].Demand == 0)
+	return admission.accepts(l.wait, l.crowded || admission.contended() && l.offered[l.first].Demand == 0)
 }
 
 // startFirst starts the first attempt that prepare chose, and a copy of the
@@ -133,7 +133,7 @@
 }
 
 // hedge starts a second attempt at another server if that can help.
-func (l *leg) hedge() {
+func (l *leg) hedge(now time.Time) {
 	l.due = time.Time{}
 	if l.done || l.inFlight == 0 || !l.mayStart() {
 		return
@@ -143,7 +143,7 @@
 		return
 	}
 	if candidate.InFlight >= candidate.Limit || !hasFreeSlot(&candidate, l.view.Slots) {
-		l.due = time.Now().Add(max(l.run.hedgeDelay/recheckPart, minRecheck))
+		l.due = now.Add(l.run.recheckTime())
 		return
 	}
 	if !l.run.forwarder.Repeats.Take(l.id) {
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -7,20 +7,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/pressure"
 )
 
 const (
-	// minRetryAfter is when servers that shed load have usually worked off some
-	// of their queues.
-	minRetryAfter = 100 * time.Millisecond
 	// maxRetryAfter is in the order of the restart of a server.
 	maxRetryAfter = 5 * time.Second
-	// maxRefused bounds the growth of the time by the share of refusals to a
-	// factor of 4. With more, the callers of a short overload stay away for long
-	// after its end.
-	maxRefused = 0.75
-	// contendedPart is the part of the legs above which waits are due to load. It
-	// is above the part that answers may lack by the usual bounds of coverage.
+	// contendedPart is the part of the legs above which waits and queues are due to
+	// load. It is above the part that answers may lack by the usual bounds of coverage.
 	contendedPart = 0.2
 	// crowdedPart is the ratio of a server's requests to its slots, as reported
 	// on average, above which a queue stands there. Reports count the request that
@@ -49,31 +43,61 @@
 // its permit. A wait at a server that can't be crowded has another cause than
 // load, such as a pause, and is left to second attempts.
 func (q queueing) accepts(wait time.Duration, crowded bool) bool {
-	if wait == 0 {
+	switch {
+	case wait == 0:
 		return true
+	case crowded:
+		return wait <= q.tolerated()
+	default:
+		return wait <= q.latest()
 	}
-	latest := q.untilDeadline - q.usual
-	if !crowded {
-		return wait <= latest
-	}
-	return wait <= min(q.tolerated(latest), latest)
 }
 
+// latest returns the longest wait after which an answer can still be had.
+func (q queueing) latest() time.Duration { return q.untilDeadline - q.usual }
+
 // tolerated returns the longest wait at a crowded server. A wait that is no
 // longer than the work itself is tolerated. Where the work takes longer than the
 // target latency, or isn't known, only the deadline counts: callers then prefer a
 // late answer to none.
-func (q queueing) tolerated(latest time.Duration) time.Duration {
+func (q queueing) tolerated() time.Duration {
 	if q.unloaded == 0 || q.unloaded >= q.untilTarget {
-		return latest
+		return q.latest()
 	}
-	return max(time.Duration(queuePart*float64(q.untilTarget-q.usual)), q.unloaded)
+	inTime := time.Duration(queuePart * float64(q.untilTarget-q.usual))
+	return min(max(inTime, q.unloaded), q.latest())
+}
+
+// admission holds the inputs of the decision whether a request is taken on.
+type admission struct {
+	queueing
+	// legs is the number of legs, and needed how many have to respond.
+	legs, needed int
+	// waiting counts the legs without a free permit, crowded those at whose
+	// server a queue stands, and expected those that can respond in time.
+	waiting, crowded, expected int
+	// refused is the share of the route's requests that were turned away.
+	refused float64
+}
+
+// contended reports whether so many legs would wait for a permit that the hosts'
+// load is the cause. A few shards that fall behind are a fault of theirs, and
+// turning away less urgent requests wouldn't help the urgent ones.
+func (a *admission) contended() bool { return a.many(a.waiting) }
+
+// overloaded reports whether queues stand at many of the chosen servers.
+func (a *admission) overloaded() bool { return a.many(a.crowded) }
+
+func (a *admission) many(legs int) bool {
+	return float64(legs) > contendedPart*float64(a.legs)
 }
 
-// String returns the bound and its inputs for the log.
-func (q queueing) String() string {
+// String returns the inputs for the log.
+func (a *admission) String() string {
 	const precision = 100 * time.Microsecond
-	return fmt.Sprintf("tolerated %s, usual %s, unloaded %s", q.tolerated(q.untilDeadline-q.usual).Round(precision), q.usual.Round(precision), q.unloaded.Round(precision))
+	return fmt.Sprintf("expected %d of %d, needed %d; waiting %d, crowded %d; tolerated %s, usual %s, unloaded %s; refused %.2f",
+		a.expected, a.legs, a.needed, a.waiting, a.crowded,
+		a.tolerated().Round(precision), a.usual.Round(precision), a.unloaded.Round(precision), a.refused)
 }
 
 // crowded reports whether a queue stands at the server, by the average of its
@@ -82,21 +106,10 @@
 	return candidate.Demand >= crowdedPart*float64(slots)
 }
 
-// contended reports whether so many legs would wait for a permit that the hosts'
-// load is the cause. A few shards that fall behind are a fault of theirs, and
-// turning away less urgent requests wouldn't help the urgent ones.
-func contended(waiting, total int) bool {
-	return float64(waiting) > contendedPart*float64(total)
-}
-
-// retryAfter returns when a refused caller should come back: after the queue
-// that it would have to wait for, and later the more callers are refused, since
-// each that comes back too early adds to the load. The time is spread by half in
-// both directions: callers that are refused together would return together.
+// retryAfter returns when a refused caller should come back.
 func retryAfter(request ebonyworks.RequestID, wait time.Duration, refused float64) time.Duration {
-	base := float64(max(wait, minRetryAfter)) / (1 - min(refused, maxRefused))
-	part := float64(xxhash.Sum64String(string(request))%1000) / 1000
-	return min(time.Duration((0.5+part)*base), maxRetryAfter)
+	chance := float64(xxhash.Sum64String(string(request))%1000) / 1000
+	return min(pressure.ReturnTime(wait, refused, chance), maxRetryAfter)
 }
 
 // hasFreeSlot reports whether a second attempt at the server takes a slot that
--- a/coordination/fanout/report.go
+++ b/coordination/fanout/report.go
@@ -61,10 +61,12 @@
 		Target:     r.route.TargetLatency,
 		HedgeDelay: r.hedgeDelay,
 		MayHedge:   r.mayHedge,
-		Refusal:    r.refusal,
 		Missed:     r.missed(),
 		Notable:    r.notable(),
 	}
+	if r.turnedAway {
+		report.Refusal = r.admission.String()
+	}
 	for _, leg := range r.legs {
 		if leg.done {
 			report.Parts++
@@ -103,7 +105,7 @@
 func (r *run) missed() string {
 	var reasons []string
 	for _, leg := range r.legs {
-		if leg.done || r.refusal != "" && !leg.hopeless {
+		if leg.done || r.turnedAway && !leg.hopeless {
 			continue
 		}
 		if len(reasons) == maxNotable {
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -57,22 +56,18 @@
 	// repeat is set if another host may have run the request, so that all
 	// attempts are repeats.
 	repeat bool
-	// refusal holds the inputs of the decision to turn the request away; empty if
-	// it was taken on.
-	refusal string
-	// crowded is set if queues stand at many of the chosen servers, and paced if
-	// the request was turned away because of that.
-	crowded, paced bool
-	// yielded is set if the request was turned away in favor of more urgent ones.
-	yielded    bool
+	// admission is what decided whether the request was taken on, and turnedAway
+	// is set if it wasn't.
+	admission  admission
+	turnedAway bool
+	// overload is why the request was turned away although enough legs could
+	// respond in time.
+	overload   string
 	hedgeDelay time.Duration
 	mayHedge   bool
-	// usual is the median latency of the route's attempts, and unloaded that
-	// without queues; zero if unknown.
-	usual, unloaded time.Duration
 }
 
-func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, relayed bool) *run {
+func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, from origin) *run {
 	needed := services(route)
 	r := &run{
 		forwarder: f,
@@ -82,6 +77,7 @@
 		revision:  revision,
 		ends:      make(chan *attempt, len(needed)*(route.MaxAttempts+maxResends)),
 		deadline:  request.Arrival.Add(patience(request, route)),
+		repeat:    from.repeat,
 	}
 	if f.Inspection != nil {
 		r.fingerprint = fingerprint(request)
@@ -90,7 +86,7 @@
 		total:  len(needed),
 		needed: route.MinParts(),
 		target: request.Arrival.Add(route.TargetLatency),
-		early:  request.Arrival.Add(sealTime(route.TargetLatency, relayed)),
+		early:  request.Arrival.Add(sealTime(route.TargetLatency, from.relayed)),
 		grace:  lateGrace,
 	}
 	request.Merged = route.Scattered()
@@ -118,17 +114,17 @@
 	if reply, refused := r.inspect(); refused {
 		return reply
 	}
-	r.usual, r.unloaded = r.forwarder.Delays.Usual(r.route.ID)
-	latest := r.deadline.Add(-max(minServerTime, min(r.usual, r.deadline.Sub(r.request.Arrival)/2)))
-	r.waiting, r.stopWait = context.WithDeadline(context.WithoutCancel(ctx), latest)
-	r.sending, r.stopSend = context.WithCancel(context.WithoutCancel(ctx))
-	defer r.release()
-	defer r.judge()
 	now := time.Now()
 	if !r.admit(now) {
+		r.turnedAway = true
 		return r.unanswered(now)
 	}
 	defer r.leave()
+	latest := r.deadline.Add(-max(minServerTime, min(r.admission.usual, r.deadline.Sub(r.request.Arrival)/2)))
+	r.waiting, r.stopWait = context.WithDeadline(context.WithoutCancel(ctx), latest)
+	r.sending, r.stopSend = context.WithCancel(context.WithoutCancel(ctx))
+	defer r.release()
+	defer r.judge()
 	r.hedgeDelay, r.mayHedge = r.forwarder.Delays.Delay(r.route.ID, r.route.TargetLatency)
 	for _, leg := range r.legs {
 		if !r.repeat {
@@ -171,57 +167,48 @@
 // them can be expected to respond in time. Nothing is sent before that, so a
 // request that is turned away has not run.
 func (r *run) admit(now time.Time) bool {
-	queueing := queueing{
-		untilTarget:   r.seal.early.Sub(now),
-		untilDeadline: r.deadline.Sub(now),
-		usual:         r.usual,
-		unloaded:      r.unloaded,
-	}
-	waiting, full := 0, 0
+	a := &r.admission
+	a.legs, a.needed = len(r.legs), r.seal.needed
+	a.untilTarget, a.untilDeadline = r.seal.early.Sub(now), r.deadline.Sub(now)
+	a.usual, a.unloaded = r.forwarder.Delays.Usual(r.route.ID)
 	for _, leg := range r.legs {
 		leg.prepare()
 		if leg.wait > 0 {
-			waiting++
+			a.waiting++
 		}
 		if leg.crowded {
-			full++
+			a.crowded++
 		}
 	}
-	contends := contended(waiting, len(r.legs))
-	expected := 0
 	for _, leg := range r.legs {
-		leg.hopeless = !leg.expected(queueing, contends)
+		leg.hopeless = !leg.expected(a)
 		if !leg.hopeless {
-			expected++
+			a.expected++
 		}
 	}
-	r.crowded = contended(full, len(r.legs))
-	if r.crowded {
+	if a.overloaded() {
 		r.seal.grace = 0
 	}
-	taken := expected >= r.seal.needed
+	taken := false
 	service, precedence := r.legs[0].id, r.forwarder.Precedence
-	if taken && contends && precedence.Yields(service, r.route.Priority) {
-		r.yielded = true
-		taken = false
-	}
-	if taken && !r.forwarder.Pacer.Begin(r.route.ID, r.crowded) {
-		r.paced = true
-		taken = false
-	}
-	precedence.Count(service, r.route.Priority, !taken && (waiting > 0 || r.paced))
-	if !taken {
-		r.refusal = fmt.Sprintf("expected %d of %d, needed %d; waiting %d, crowded %d; %s; refused %.2f",
-			expected, len(r.legs), r.seal.needed, waiting, full, queueing, precedence.Refused(service, r.route.Priority))
-	}
+	switch {
+	case a.expected < a.needed:
+	case a.contended() && precedence.Yields(service, r.route.Priority):
+		r.overload = "service " + string(service) + " is overloaded: more urgent requests are turned away more often"
+	case !r.forwarder.Pacer.Begin(r.route.ID, a.overloaded()):
+		r.overload = "the servers of route " + string(r.route.ID) + " are overloaded: answers are late"
+	default:
+		taken = true
+	}
+	precedence.Count(service, r.route.Priority, !taken && (a.waiting > 0 || r.overload != ""))
 	return taken
 }
 
 // leave ends the request's place among those that run. Answers that are late
 // without any queue say nothing about load.
 func (r *run) leave() {
-	late := time.Now().After(r.seal.target) && r.unloaded > 0 && r.unloaded < r.route.TargetLatency
-	r.forwarder.Pacer.End(r.route.ID, r.crowded, late)
+	late := time.Now().After(r.seal.target) && r.admission.unloaded > 0 && r.admission.unloaded < r.route.TargetLatency
+	r.forwarder.Pacer.End(r.route.ID, r.admission.overloaded(), late)
 }
 
 // judge records the servers that went away under a request that no server has
@@ -314,13 +301,16 @@
 		switch {
 		case leg.due.IsZero() || now.Before(leg.due):
 		case typical:
-			leg.hedge()
+			leg.hedge(now)
 		default:
-			leg.due = now.Add(max(r.hedgeDelay/recheckPart, minRecheck))
+			leg.due = now.Add(r.recheckTime())
 		}
 	}
 }
 
+// recheckTime returns when to look again at a leg that couldn't be hedged.
+func (r *run) recheckTime() time.Duration { return max(r.hedgeDelay/recheckPart, minRecheck) }
+
 // mostDone reports whether enough legs have ended to call the others late.
 func (r *run) mostDone() bool {
 	if len(r.legs) == 1 {
@@ -394,7 +384,8 @@
 // request didn't run only if no server can have started it.
 func (r *run) unanswered(now time.Time) ebonyworks.ForwardReply {
 	if r.abandonUnsent() {
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: r.retryAfter()}
+		r.admission.refused = r.forwarder.Precedence.Refused(r.legs[0].id, r.route.Priority)
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.longestWait(), r.admission.refused)}
 	}
 	if !now.Before(r.deadline) {
 		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyTimeout, Reason: r.reason()}
@@ -402,10 +393,6 @@
 	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: r.reason()}
 }
 
-func (r *run) retryAfter() time.Duration {
-	return retryAfter(r.request.ID, r.longestWait(), r.forwarder.Precedence.Refused(r.legs[0].id, r.route.Priority))
-}
-
 // longestWait returns the longest predicted wait of the legs.
 func (r *run) longestWait() time.Duration {
 	var longest time.Duration
@@ -429,11 +416,8 @@
 // reason returns the reason of the first leg without a response, or of the one
 // with the longest wait if nothing was started.
 func (r *run) reason() string {
-	if r.paced {
-		return "the servers of route " + string(r.route.ID) + " are overloaded: answers are late"
-	}
-	if r.yielded {
-		return "service " + string(r.legs[0].id) + " is overloaded: more urgent requests are turned away more often"
+	if r.overload != "" {
+		return r.overload
 	}
 	var cause *leg
 	for _, leg := range r.legs {
--- a/coordination/precedence/precedence.go
+++ b/coordination/precedence/precedence.go
@@ -45,11 +45,7 @@
 func (b *Balance) Refused(service ebonyworks.ServiceID, priority int) float64 {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	share := b.services[service][priority]
-	if share == nil {
-		return 0
-	}
-	return share.Value(time.Now())
+	return b.refused(service, priority, time.Now())
 }
 
 // Yields reports whether more urgent requests are turned away more often than
@@ -59,10 +55,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := time.Now()
-	own := 0.0
-	if share := b.services[service][priority]; share != nil {
-		own = share.Value(now)
-	}
+	own := b.refused(service, priority, now)
 	for other, share := range b.services[service] {
 		if other < priority && share.Value(now) > max(own, tolerance) {
 			return true
@@ -82,6 +75,14 @@
 	}
 }
 
+func (b *Balance) refused(service ebonyworks.ServiceID, priority int, now time.Time) float64 {
+	share := b.services[service][priority]
+	if share == nil {
+		return 0
+	}
+	return share.Value(now)
+}
+
 func (b *Balance) open(service ebonyworks.ServiceID, priority int) *pressure.Share {
 	ranks := b.services[service]
 	if ranks == nil {
