Share the running of command lines; use the standard library for small loops

Six loops that drop what isn't named, a comparison and a copy of slices, and the cut of a target are calls of maps, slices and strings. Whether a gateway is stopping is asked for each request and is one atomic value instead of a mutex. No change of behavior.

--- a/cmd/ebony-load/root.go
+++ b/cmd/ebony-load/root.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 
@@ -17,15 +16,7 @@
 
 // run executes the tool and returns its exit status.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	root := newRoot()
-	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
-	err := root.ExecuteContext(ctx)
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "ebony-load:", err)
-	}
-	return usage.Status(err)
+	return usage.Execute(ctx, newRoot(), args, stdout, stderr, "ebony-load: ")
 }
 
 func newRoot() *cobra.Command {
--- a/cmd/ebonyctl/root.go
+++ b/cmd/ebonyctl/root.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"io"
 
 	"github.com/go-faster/errors"
@@ -23,15 +23,7 @@
 
 // run executes the tool and returns its exit status.
 func run(args []string, stdout, stderr io.Writer) int {
-	root := newRoot()
-	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
-	err := root.Execute()
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-	}
-	return usage.Status(err)
+	return usage.Execute(context.Background(), newRoot(), args, stdout, stderr, "")
 }
 
 func newRoot() *cobra.Command {
--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -3,6 +3,7 @@
 package allowance
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -129,11 +130,7 @@
 func (l *Ledger) Retain(named map[ebonyworks.ServiceID]bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for id := range l.services {
-		if !named[id] {
-			delete(l.services, id)
-		}
-	}
+	maps.DeleteFunc(l.services, func(id ebonyworks.ServiceID, _ *account) bool { return !named[id] })
 }
 
 func (l *Ledger) left(known *account) float64 {
--- a/coordination/delay/estimator.go
+++ b/coordination/delay/estimator.go
@@ -3,6 +3,7 @@
 package delay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -109,11 +110,7 @@
 func (e *Estimator) Retain(named map[ebonyworks.RouteID]bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	for id := range e.routes {
-		if !named[id] {
-			delete(e.routes, id)
-		}
-	}
+	maps.DeleteFunc(e.routes, func(id ebonyworks.RouteID, _ *route) bool { return !named[id] })
 }
 
 func (e *Estimator) open(id ebonyworks.RouteID) *route {
--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -3,6 +3,7 @@
 package pacing
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -82,11 +83,7 @@
 func (p *Pacer) Retain(named map[ebonyworks.RouteID]bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for id := range p.routes {
-		if !named[id] {
-			delete(p.routes, id)
-		}
-	}
+	maps.DeleteFunc(p.routes, func(id ebonyworks.RouteID, _ *route) bool { return !named[id] })
 }
 
 func (p *Pacer) open(id ebonyworks.RouteID) *route {
--- a/coordination/precedence/precedence.go
+++ b/coordination/precedence/precedence.go
@@ -3,6 +3,7 @@
 package precedence
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -68,11 +69,7 @@
 func (b *Balance) Retain(named map[ebonyworks.ServiceID]bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for id := range b.services {
-		if !named[id] {
-			delete(b.services, id)
-		}
-	}
+	maps.DeleteFunc(b.services, func(id ebonyworks.ServiceID, _ map[int]*pressure.Share) bool { return !named[id] })
 }
 
 func (b *Balance) refused(service ebonyworks.ServiceID, priority int, now time.Time) float64 {
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -5,6 +5,7 @@
 import (
 	"container/heap"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -72,13 +73,7 @@
 func (t *Table) RetainServers(named map[ebonyworks.ServerID]bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	retained := make(map[ebonyworks.ServerID]*server, len(t.servers))
-	for id, known := range t.servers {
-		if named[id] {
-			retained[id] = known
-		}
-	}
-	t.servers = retained
+	maps.DeleteFunc(t.servers, func(id ebonyworks.ServerID, _ *server) bool { return !named[id] })
 }
 
 // Acquire waits for a permit until the context ends. Waiters get permits in
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -2,7 +2,8 @@
 package routing
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"strings"
 	"sync"
 
@@ -35,7 +36,7 @@
 		table.hosts[host] = append(table.hosts[host], route)
 	}
 	for _, routes := range table.hosts {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	return table
 }
@@ -67,7 +68,7 @@
 	}
 	for _, routes := range t.hosts {
 		for _, route := range routes {
-			if before := known[route.ID]; before != nil && before.sameBackends(route) {
+			if before := known[route.ID]; before != nil && slices.Equal(before.Backends, route.Backends) {
 				route.credit = before.credits()
 			}
 		}
@@ -101,17 +102,5 @@
 func (r *Route) credits() []float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return append([]float64(nil), r.credit...)
-}
-
-func (r *Route) sameBackends(other *Route) bool {
-	if len(r.Backends) != len(other.Backends) {
-		return false
-	}
-	for i := range r.Backends {
-		if r.Backends[i] != other.Backends[i] {
-			return false
-		}
-	}
-	return true
+	return slices.Clone(r.credit)
 }
--- a/coordination/selection/selection.go
+++ b/coordination/selection/selection.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// farFactor, unless another one is set, multiplies the cost of servers in other domains. A near server
-	// with the same latency is preferred while it is idle, and passed over for
-	// an idle far one as soon as it has an attempt in flight (cost 2 > 1.5).
+	// farFactor multiplies the cost of servers in other domains unless the
+	// selector has another one. A near server with the same latency is preferred
+	// while it is idle, and passed over for an idle far one as soon as it has an
+	// attempt in flight (cost 2 > 1.5).
 	farFactor = 1.5
 	// tieFactor is how far costs may differ and still count as a tie. It is
 	// the most that a misleading report can gain a server.
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os/signal"
 	"syscall"
@@ -18,15 +17,7 @@
 // Execute runs the command line and returns the exit status: 2 for invalid
 // settings or arguments, 1 for other failures.
 func Execute(arguments []string, out, failures io.Writer) int {
-	command := newCommand(out)
-	command.SetArgs(arguments)
-	command.SetOut(out)
-	command.SetErr(failures)
-	err := command.Execute()
-	if err != nil {
-		_, _ = fmt.Fprintln(failures, "ebonyd:", err)
-	}
-	return usage.Status(err)
+	return usage.Execute(context.Background(), newCommand(out), arguments, out, failures, "ebonyd: ")
 }
 
 func newCommand(out io.Writer) *cobra.Command {
@@ -46,34 +37,26 @@
 	command.SetFlagErrorFunc(usage.Mistake)
 	// MarkFlagRequired fails only for flags that don't exist.
 	_ = command.MarkFlagRequired("settings")
-	command.AddCommand(newCheckCommand(out))
+	command.AddCommand(usage.NewCheck(func(path string) error {
+		_, err := load(path)
+		return err
+	}))
 	return command
 }
 
-// newCheckCommand checks a settings file without starting anything.
-func newCheckCommand(out io.Writer) *cobra.Command {
-	return &cobra.Command{
-		Use:   "check FILE",
-		Short: "Check a settings file without starting anything",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, arguments []string) error {
-			_, problems := settings.Load(arguments[0])
-			if len(problems) > 0 {
-				return &usage.Error{Source: arguments[0], Problems: problems}
-			}
-			_, err := fmt.Fprintln(out, arguments[0]+": ok")
-			return err
-		},
+// load reads the settings file. The error lists every mistake of it.
+func load(path string) (settings.Settings, error) {
+	loaded, problems := settings.Load(path)
+	if len(problems) > 0 {
+		return settings.Settings{}, &usage.Error{Source: path, Problems: problems}
 	}
+	return loaded, nil
 }
 
 func run(ctx context.Context, path string, out io.Writer) error {
-	if ctx == nil {
-		ctx = context.Background()
-	}
-	loaded, problems := settings.Load(path)
-	if len(problems) > 0 {
-		return &usage.Error{Source: path, Problems: problems}
+	loaded, err := load(path)
+	if err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/forwarding.go
+++ b/forwarding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -104,12 +105,8 @@
 
 // Path returns the target without its query.
 func (r *ForwardRequest) Path() string {
-	for i := range len(r.Target) {
-		if r.Target[i] == '?' {
-			return r.Target[:i]
-		}
-	}
-	return r.Target
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
 }
 
 // ServerResponse is a complete response of a backend server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -85,9 +86,7 @@
 	reporter   *inspection.Reporter
 	subset     subset.Chooser
 	fleet      fleet
-
-	mutex    sync.Mutex
-	stopping bool
+	stopping   atomic.Bool
 }
 
 var _ ebonyworks.Forwarder = (*Gateway)(nil)
@@ -221,17 +220,11 @@
 
 // BeginStop makes the host not ready. Requests that arrive are still answered.
 func (g *Gateway) BeginStop() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.stopping = true
+	g.stopping.Store(true)
 }
 
 // Stopping reports whether a planned stop has begun.
-func (g *Gateway) Stopping() bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.stopping
-}
+func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
 // departed passes the life and the departure of a server on to the register.
 func (g *Gateway) departed(change directory.Change) {
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -2,6 +2,7 @@
 package register
 
 import (
+	"maps"
 	mathrand "math/rand/v2"
 	"slices"
 	"strings"
@@ -165,11 +166,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
-	for id := range r.servers {
-		if !named[id] {
-			delete(r.servers, id)
-		}
-	}
+	maps.DeleteFunc(r.servers, func(id ebonyworks.ServerID, _ *record) bool { return !named[id] })
 	for id := range named {
 		r.add(id, now)
 	}
--- a/usage/error.go
+++ b/usage/error.go
@@ -1,4 +1,5 @@
-// Package usage tells invalid input of a command line tool from other failures.
+// Package usage is what command lines share: it tells invalid input from other
+// failures, and has the steps that all of them take.
 package usage
 
 import (
