--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -13,14 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/ebonyworks/ebonyworks"
-	"github.com/ebonyworks/ebonyworks/coordination/allowance"
-	"github.com/ebonyworks/ebonyworks/coordination/delay"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
-	"github.com/ebonyworks/ebonyworks/coordination/pacing"
-	"github.com/ebonyworks/ebonyworks/coordination/precedence"
-	"github.com/ebonyworks/ebonyworks/coordination/quota"
-	"github.com/ebonyworks/ebonyworks/coordination/selection"
-	"github.com/ebonyworks/ebonyworks/state/register"
 )
 
 const (
@@ -65,15 +58,7 @@
 		}
 	}
 	for i := range uint64(fleetHosts) {
-		known := servers{register: &register.Register{ProbeByRequest: true}, quota: quota.NewExclusive(fleetHosts)}
-		f.hosts = append(f.hosts, &fanout.Forwarder{
-			Table: f.Table, Directory: f.directory, Servers: known, Quota: known.quota, Backend: f, Inspection: f.inspector, Observer: f.world,
-			Selection:  selection.New(rand.New(rand.NewPCG(i, 5))),
-			Repeats:    allowance.New(repeatBound, fleetHosts),
-			Delays:     &delay.Estimator{},
-			Precedence: &precedence.Balance{},
-			Pacer:      &pacing.Pacer{},
-		})
+		f.hosts = append(f.hosts, f.forwarder(f, f.Table, rand.New(rand.NewPCG(i, 5)), fleetHosts, fleetHosts))
 	}
 	return f
 }
--- a/coordination/fanout/world_test.go
+++ b/coordination/fanout/world_test.go
@@ -115,24 +115,30 @@
 	}
 	w.directory.SetServices(configuration.Services)
 	table := routing.New(configuration)
-	known := servers{register: &register.Register{ProbeByRequest: true}, quota: quota.NewExclusive(8)}
 	w.inspector = &inspection.Inspector{}
-	w.Forwarder = &fanout.Forwarder{
-		Table:      func() *routing.Table { return table },
+	w.Forwarder = w.forwarder(w, func() *routing.Table { return table }, rand.New(rand.NewPCG(1, 2)), 8, 1)
+	time.Sleep(repeatBound.Window)
+	return w
+}
+
+// forwarder returns a host in front of the backend. The servers' connections and
+// the repeats are shared by the given numbers of hosts.
+func (w *world) forwarder(backend ebonyworks.ForwardBackend, table func() *routing.Table, random *rand.Rand, connectionHosts, repeatHosts int) *fanout.Forwarder {
+	known := servers{register: &register.Register{ProbeByRequest: true}, quota: quota.NewExclusive(connectionHosts)}
+	return &fanout.Forwarder{
+		Table:      table,
 		Directory:  w.directory,
 		Servers:    known,
-		Selection:  selection.New(rand.New(rand.NewPCG(1, 2))),
+		Selection:  selection.New(random),
 		Quota:      known.quota,
-		Repeats:    allowance.New(repeatBound, 1),
+		Repeats:    allowance.New(repeatBound, repeatHosts),
 		Delays:     &delay.Estimator{},
 		Precedence: &precedence.Balance{},
 		Pacer:      &pacing.Pacer{},
-		Backend:    w,
+		Backend:    backend,
 		Inspection: w.inspector,
 		Observer:   w,
 	}
-	time.Sleep(repeatBound.Window)
-	return w
 }
 
 // Send behaves as the test says.
