Count the attempts of a delegated request on both hosts together

Cause: a larger host that is late has made second attempts; the smaller host then ran the request with attempts of its own, so a request reached three servers of a shard (MaxAttempts 2).

The smaller host now names one server of each shard in advance, its fallback. It counts on both hosts.

--- a/coordination/delegation/delegator.go
+++ b/coordination/delegation/delegator.go
@@ -26,8 +26,12 @@
 	hostsService ebonyworks.ServiceID = "hosts"
 )
 
-// Runner runs a request on this host. A repeat is paid from the repeat budget.
-type Runner func(ctx context.Context, repeat bool) ebonyworks.ForwardReply
+// Runner runs a request on this host. If the host that it was delegated to may
+// run it, too, all attempts are repeats, and only the fallbacks get any.
+type Runner func(ctx context.Context, mayHaveRun bool) ebonyworks.ForwardReply
+
+// Terms returns what the host that runs a request keeps to.
+type Terms func() ebonyworks.Delegation
 
 // Delegator chooses the host of each request. Its exported fields are set
 // before the first use.
@@ -54,7 +58,7 @@
 
 // Run runs an idempotent request on a larger host, or locally if there is none
 // that works. It returns the host that answered.
-func (d *Delegator) Run(ctx context.Context, request *ebonyworks.ForwardRequest, target time.Duration, revision ebonyworks.Revision, local Runner) (ebonyworks.ForwardReply, ebonyworks.HostID) {
+func (d *Delegator) Run(ctx context.Context, request *ebonyworks.ForwardRequest, target time.Duration, terms Terms, local Runner) (ebonyworks.ForwardReply, ebonyworks.HostID) {
 	host, candidate, ok := d.choose()
 	if !ok {
 		return local(ctx, false), d.Self.ID
@@ -62,7 +66,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan delegated, 1)
-	go func() { replies <- d.send(ctx, host, candidate, request, revision) }()
+	kept := terms()
+	go func() { replies <- d.send(ctx, host, candidate, request, kept) }()
 	fallback := time.NewTimer(time.Until(request.Arrival.Add(time.Duration(fallbackPart * float64(target)))))
 	defer fallback.Stop()
 	select {
@@ -131,10 +136,10 @@
 }
 
 // send forwards the request and learns from the end.
-func (d *Delegator) send(ctx context.Context, host ebonyworks.Host, candidate ebonyworks.ServerID, request *ebonyworks.ForwardRequest, revision ebonyworks.Revision) delegated {
+func (d *Delegator) send(ctx context.Context, host ebonyworks.Host, candidate ebonyworks.ServerID, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) delegated {
 	defer d.leave(candidate)
 	start := time.Now()
-	reply, delivery := d.Peer.Forward(ctx, host, request, revision)
+	reply, delivery := d.Peer.Forward(ctx, host, request, terms)
 	switch {
 	case delivery == ebonyworks.Delivered:
 		d.observe(candidate, ebonyworks.AttemptServed, time.Since(start))
--- a/coordination/delegation/delegator_test.go
+++ b/coordination/delegation/delegator_test.go
@@ -25,7 +25,7 @@
 	answer func(ctx context.Context, host ebonyworks.HostID) (ebonyworks.ForwardReply, ebonyworks.Delivery)
 }
 
-func (f *fleet) Forward(ctx context.Context, to ebonyworks.Host, _ *ebonyworks.ForwardRequest, _ ebonyworks.Revision) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+func (f *fleet) Forward(ctx context.Context, to ebonyworks.Host, _ *ebonyworks.ForwardRequest, _ ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
 	f.mutex.Lock()
 	f.asked[to.ID]++
 	answer := f.answer
@@ -68,9 +68,11 @@
 	return ebonyworks.ForwardReply{Kind: r.kind}
 }
 
+func noTerms() ebonyworks.Delegation { return ebonyworks.Delegation{} }
+
 func ask(delegator *delegation.Delegator, local *runner) (ebonyworks.ForwardReply, ebonyworks.HostID, time.Duration) {
 	begin := time.Now()
-	reply, host := delegator.Run(context.Background(), &ebonyworks.ForwardRequest{ID: "q", Arrival: begin}, target, 1, local.run)
+	reply, host := delegator.Run(context.Background(), &ebonyworks.ForwardRequest{ID: "q", Arrival: begin}, target, noTerms, local.run)
 	return reply, host, time.Since(begin)
 }
 
--- /dev/null
+++ b/coordination/fanout/fallback_test.go
@@ -0,0 +1,213 @@
+package fanout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/delegation"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/state/directory"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+// link carries requests to the larger host and answers back, each late, lost or
+// not, as drawn from random.
+type link struct {
+	larger *fanout.Forwarder
+
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+// message draws what happens to one message: how late it is, and if it is lost.
+func (l *link) message() (late time.Duration, lost bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch l.random.IntN(6) {
+	case 0:
+		return 0, true
+	case 1:
+		return target - time.Millisecond, false
+	case 2:
+		return time.Duration(l.random.Int64N(int64(4 * target))), false
+	default:
+		return time.Millisecond, false
+	}
+}
+
+// Forward runs the request on the larger host, which doesn't learn that the
+// smaller one gave it up.
+func (l *link) Forward(ctx context.Context, _ ebonyworks.Host, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+	copied := *request
+	there, lost := l.message()
+	back, answerLost := l.message()
+	replies := make(chan ebonyworks.ForwardReply, 1)
+	declined := make(chan struct{})
+	if !lost {
+		go func() {
+			time.Sleep(there)
+			reply, ok := l.larger.ForwardFor(context.WithoutCancel(ctx), &copied, terms)
+			time.Sleep(back)
+			switch {
+			case answerLost:
+			case ok:
+				replies <- reply
+			default:
+				close(declined)
+			}
+		}()
+	}
+	broken := time.NewTimer(there + back)
+	defer broken.Stop()
+	if !lost && !answerLost {
+		broken.Stop()
+	}
+	select {
+	case reply := <-replies:
+		return reply, ebonyworks.Delivered
+	case <-declined:
+		return ebonyworks.ForwardReply{}, ebonyworks.NotDelivered
+	case <-broken.C:
+		return ebonyworks.ForwardReply{}, ebonyworks.DeliveryUnknown
+	case <-ctx.Done():
+		return ebonyworks.ForwardReply{}, ebonyworks.DeliveryUnknown
+	}
+}
+
+// frozen is the backend of a host whose sends are late at times, as when it
+// stands still between its decision and the send.
+type frozen struct {
+	*world
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+// Send sends late.
+func (f *frozen) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+	f.mutex.Lock()
+	var pause time.Duration
+	if f.random.IntN(20) == 0 {
+		pause = time.Duration(f.random.Int64N(int64(3 * target)))
+	}
+	f.mutex.Unlock()
+	time.Sleep(pause)
+	return f.world.Send(ctx, to, request, deadline)
+}
+
+var troubles = []behavior{
+	served(usual),
+	served(usual),
+	served(usual),
+	served(3 * usual),
+	served(10 * target),
+	{takes: usual, result: ebonyworks.AttemptFailed, status: 500},
+	{takes: usual, result: ebonyworks.AttemptLost},
+	{takes: usual, result: ebonyworks.AttemptInvalid},
+	{takes: time.Millisecond, result: ebonyworks.AttemptShed},
+	{takes: time.Millisecond, result: ebonyworks.AttemptUnreachable},
+}
+
+// Guards against a request that runs on more servers of a shard than its route
+// allows because two hosts run it, however late or lost the messages between them
+// are, and although they know other servers and one of them stands still.
+func TestHostsKeepMaxAttemptsTogether(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) { checkAttempts(t, w, seed) })
+		})
+	}
+}
+
+func checkAttempts(t *testing.T, w *world, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	maxAttempts := 1 + int(seed%3)
+	known := *w.Table().Configuration()
+	known.Routes = append([]ebonyworks.ForwardRoute(nil), known.Routes...)
+	known.Routes[0].MaxAttempts = maxAttempts
+	table := routing.New(&known)
+	tables := func() *routing.Table { return table }
+	larger, smaller := addReplicas(w, random), addReplicas(w, random)
+	w.set(func(id ebonyworks.ServerID, request *ebonyworks.ForwardRequest) behavior {
+		return troubles[int(part(seed, id, request.ID)*float64(len(troubles)))]
+	})
+	other := w.forwarder(&frozen{world: w, random: rand.New(rand.NewPCG(seed, 2))}, tables, rand.New(rand.NewPCG(seed, 3)), 8, 1)
+	other.Directory, other.Inspection, other.Domain = larger, nil, "c"
+	own := w.forwarder(&frozen{world: w, random: rand.New(rand.NewPCG(seed, 4))}, tables, rand.New(rand.NewPCG(seed, 5)), 8, 1)
+	own.Directory, own.Inspection, own.Domain = smaller, nil, "b"
+	own.Delegation = &delegation.Delegator{
+		Self:      ebonyworks.Host{ID: "small", Domain: "b", Capacity: 0.2},
+		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
+		Peer:      &link{larger: other, random: rand.New(rand.NewPCG(seed, 6))},
+		Selection: &selection.Selector{},
+		Register:  &register.Register{ProbeByRequest: true},
+	}
+	time.Sleep(repeatBound.Window)
+	for i := range 60 {
+		id := ebonyworks.RequestID(fmt.Sprintf("%d-%d", seed, i))
+		go own.Forward(context.Background(), &ebonyworks.ForwardRequest{
+			ID: id, Host: "h", Method: "GET", Target: "/all/" + string(id), Arrival: time.Now(), Patience: timeout,
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	time.Sleep(10 * timeout)
+	for request, most := range w.mostServers(seed) {
+		assert.LessOrEqual(t, most, maxAttempts, "servers of one shard that ran %s", request)
+	}
+}
+
+// addReplicas returns what one host knows of the servers: three of each shard,
+// less or more some that the other host doesn't know.
+func addReplicas(w *world, random *rand.Rand) *directory.Directory {
+	view := &directory.Directory{}
+	for i := range shardCount {
+		for _, replica := range []string{"a", "b", "c", "d"} {
+			if replica == "d" && random.IntN(10) > 0 || random.IntN(10) == 0 {
+				continue
+			}
+			view.Put(ebonyworks.Registration{
+				Server:  ebonyworks.Server{ID: server(i, replica), Address: netip.MustParseAddrPort("10.0.0.1:80"), Domain: ebonyworks.DomainID(replica)},
+				Service: shard(i), Slots: 2,
+			}, 1)
+		}
+	}
+	view.SetServices(w.Table().Configuration().Services)
+	return view
+}
+
+// mostServers returns, for each request, the largest number of servers of one
+// shard that ran it.
+func (w *world) mostServers(seed uint64) map[ebonyworks.RequestID]int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	type run struct {
+		request ebonyworks.RequestID
+		shard   string
+	}
+	ran := make(map[run]map[ebonyworks.ServerID]bool)
+	for _, one := range w.arrivals {
+		does := troubles[int(part(seed, one.server, one.request)*float64(len(troubles)))]
+		if does.result.ProvesNotRun() {
+			continue
+		}
+		key := run{one.request, string(one.server[:len("shard-00")])}
+		if ran[key] == nil {
+			ran[key] = make(map[ebonyworks.ServerID]bool)
+		}
+		ran[key][one.server] = true
+	}
+	most := make(map[ebonyworks.RequestID]int)
+	for key, servers := range ran {
+		most[key.request] = max(most[key.request], len(servers))
+	}
+	return most
+}
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -92,12 +92,14 @@
 type Delegation interface {
 	// Run runs the request on another host, or with the runner on this one. It
 	// returns the host that answered.
-	Run(ctx context.Context, request *ebonyworks.ForwardRequest, target time.Duration, revision ebonyworks.Revision, local delegation.Runner) (ebonyworks.ForwardReply, ebonyworks.HostID)
+	Run(ctx context.Context, request *ebonyworks.ForwardRequest, target time.Duration, terms delegation.Terms, local delegation.Runner) (ebonyworks.ForwardReply, ebonyworks.HostID)
 }
 
 // Forwarder runs opaque requests. Its fields are set before the first use;
 // Inspection, Observer and Delegation may be nil.
 type Forwarder struct {
+	// Domain is that of the host.
+	Domain ebonyworks.DomainID
 	// Table returns the routes in force, or nil if there are none yet.
 	Table      func() *routing.Table
 	Directory  Directory
@@ -134,8 +136,16 @@
 	if f.Delegation == nil || !route.Scattered() {
 		return f.run(ctx, request, route, revision, origin{})
 	}
-	reply, host := f.Delegation.Run(ctx, request, route.TargetLatency, revision, func(ctx context.Context, repeat bool) ebonyworks.ForwardReply {
-		return f.run(ctx, request, route, revision, origin{repeat: repeat})
+	terms := ebonyworks.Delegation{Revision: revision}
+	choose := func() ebonyworks.Delegation {
+		terms.Fallbacks = f.fallbacks(request, route)
+		return terms
+	}
+	reply, host := f.Delegation.Run(ctx, request, route.TargetLatency, choose, func(ctx context.Context, mayHaveRun bool) ebonyworks.ForwardReply {
+		if !mayHaveRun {
+			return f.run(ctx, request, route, revision, origin{})
+		}
+		return f.run(ctx, request, route, revision, origin{repeat: true, fallbacks: terms.Fallbacks})
 	})
 	if f.Observer != nil {
 		f.Observer.Delegated(delegationReport(request, route, revision, &reply, host))
@@ -157,18 +167,18 @@
 	return reply
 }
 
-// ForwardFor runs the request of another host, which expects the configuration
-// to be in force. It returns false if another one is.
-func (f *Forwarder) ForwardFor(ctx context.Context, request *ebonyworks.ForwardRequest, revision ebonyworks.Revision) (ebonyworks.ForwardReply, bool) {
+// ForwardFor runs the request of another host. It returns false, without having
+// run it, if it can't keep to the terms.
+func (f *Forwarder) ForwardFor(ctx context.Context, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, bool) {
 	table := f.Table()
-	if table == nil || table.Configuration().Revision != revision {
+	if table == nil || table.Configuration().Revision != terms.Revision {
 		return ebonyworks.ForwardReply{}, false
 	}
 	route, ok := table.Match(request.Host, request.Path())
-	if !ok || !route.Idempotent {
+	if !ok || !route.Idempotent || len(route.Shards) != len(terms.Fallbacks) {
 		return ebonyworks.ForwardReply{}, false
 	}
-	return f.run(ctx, request, route, revision, origin{relayed: true}), true
+	return f.run(ctx, request, route, terms.Revision, origin{relayed: true, fallbacks: terms.Fallbacks}), true
 }
 
 // origin tells where a run comes from.
@@ -177,6 +187,9 @@
 	repeat bool
 	// relayed is set if another host passes the answer on.
 	relayed bool
+	// fallbacks are the servers that the delegating host asks if it gets no
+	// answer; empty if the request isn't delegated.
+	fallbacks []ebonyworks.ServerTag
 }
 
 func (f *Forwarder) run(ctx context.Context, request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, from origin) ebonyworks.ForwardReply {
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -19,6 +19,8 @@
 	id  ebonyworks.ServiceID
 	// view is nil if no server is known.
 	view *ebonyworks.Service
+	// share bounds the servers that this host may ask.
+	share share
 	// asked are the servers that got an attempt.
 	asked []ebonyworks.ServerID
 	// started counts the attempts, and spent those that may have run.
@@ -80,7 +82,7 @@
 	if l.view == nil {
 		return
 	}
-	offered := l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
+	offered := l.admitted(l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent))
 	index, ok := l.run.forwarder.Selection.Select(offered)
 	if !ok {
 		return
@@ -112,7 +114,7 @@
 	l.start(l.offered[l.first], attemptFirst, l.run.repeat)
 	l.scheduleHedge(now)
 	for i := range l.offered {
-		if i == l.first || !l.offered[i].Probe || !l.mayStart() {
+		if i == l.first || !l.offered[i].Probe || !l.mayStart() || !l.admits(l.offered[i].Server.ID) {
 			continue
 		}
 		if l.run.forwarder.Repeats.Left(l.id) > probeReserve && l.run.forwarder.Repeats.Take(l.id) {
@@ -157,7 +159,9 @@
 func (l *leg) ended(end *attempt, now time.Time) {
 	l.inFlight--
 	l.last = end.record.Result
-	if !end.record.Result.ProvesNotRun() {
+	if end.record.Result.ProvesNotRun() {
+		l.share.giveBack(end.candidate.Server.ID)
+	} else {
 		l.spent++
 	}
 	if end.record.Result == ebonyworks.AttemptUnreachable && end.charged {
@@ -212,7 +216,7 @@
 
 // choose selects a server that wasn't asked yet.
 func (l *leg) choose() (ebonyworks.Candidate, bool) {
-	candidates := l.run.forwarder.Servers.Candidates(l.view, false)
+	candidates := l.admitted(l.run.forwarder.Servers.Candidates(l.view, false))
 	candidates = slices.DeleteFunc(candidates, func(candidate ebonyworks.Candidate) bool {
 		return slices.Contains(l.asked, candidate.Server.ID)
 	})
@@ -223,8 +227,19 @@
 	return candidates[index], true
 }
 
+// admits reports whether the server may get an attempt.
+func (l *leg) admits(server ebonyworks.ServerID) bool {
+	return l.share.admits(server, l.run.route.MaxAttempts-l.spent-l.inFlight)
+}
+
+// admitted returns the candidates that may get an attempt.
+func (l *leg) admitted(candidates []ebonyworks.Candidate) []ebonyworks.Candidate {
+	return slices.DeleteFunc(candidates, func(candidate ebonyworks.Candidate) bool { return !l.admits(candidate.Server.ID) })
+}
+
 func (l *leg) start(candidate ebonyworks.Candidate, kind attemptKind, charged bool) {
 	l.asked = append(l.asked, candidate.Server.ID)
+	l.share.take(candidate.Server.ID)
 	l.started++
 	l.inFlight++
 	l.run.inFlight++
--- a/forwarding.go
+++ b/forwarding.go
@@ -119,6 +119,20 @@
 	Signature string
 }
 
+// ServerTag names a server among the replicas of one service in two bytes. Zero
+// names none.
+type ServerTag uint16
+
+// Delegation is what a host keeps to that runs the request of another one.
+type Delegation struct {
+	// Revision is the configuration that has to be in force.
+	Revision Revision
+	// Fallbacks are in the order of the route's shards. Each names the server
+	// that the delegating host asks if it gets no answer. It counts among the
+	// servers that one request may be sent to, on both hosts.
+	Fallbacks []ServerTag
+}
+
 // ReplyKind tells how a forwarded request ended. The zero value is
 // ReplyFailed, which claims least.
 type ReplyKind int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 		Departed:  g.departed,
 	}
 	g.forwarder = &fanout.Forwarder{
+		Domain:     options.Self.Domain,
 		Table:      g.follower.Table,
 		Directory:  g.directory,
 		Servers:    servers{g},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,11 +40,11 @@
 
 // HandleForward runs the request of a smaller host, unless this host is about to
 // stop or has another configuration in force.
-func (g *Gateway) HandleForward(ctx context.Context, request *ebonyworks.ForwardRequest, revision ebonyworks.Revision) (ebonyworks.ForwardReply, bool) {
+func (g *Gateway) HandleForward(ctx context.Context, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, bool) {
 	if g.Stopping() {
 		return ebonyworks.ForwardReply{}, false
 	}
-	return g.forwarder.ForwardFor(ctx, request, revision)
+	return g.forwarder.ForwardFor(ctx, request, terms)
 }
 
 // HandleFetchPart fails: the view has no parts.
--- a/peer.go
+++ b/peer.go
@@ -157,14 +157,14 @@
 // ForwardPeer runs opaque requests on other hosts. Implementations never
 // resend by themselves.
 type ForwardPeer interface {
-	// Forward runs an idempotent request on the host under the configuration.
-	// It returns NotDelivered if the host didn't run it and never will.
-	Forward(ctx context.Context, to Host, request *ForwardRequest, revision Revision) (ForwardReply, Delivery)
+	// Forward runs an idempotent request on the host. It returns NotDelivered
+	// if the host didn't run it and never will.
+	Forward(ctx context.Context, to Host, request *ForwardRequest, delegation Delegation) (ForwardReply, Delivery)
 }
 
 // ForwardPeerHandler answers a ForwardPeer.
 type ForwardPeerHandler interface {
 	// HandleForward runs the request, or returns false if it didn't and never
 	// will.
-	HandleForward(ctx context.Context, request *ForwardRequest, revision Revision) (ForwardReply, bool)
+	HandleForward(ctx context.Context, request *ForwardRequest, delegation Delegation) (ForwardReply, bool)
 }
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/binary"
 	"math"
 	"time"
 
@@ -10,9 +11,9 @@
 
 // EncodeForward returns the wire form of a request. The arrival becomes the
 // time since then.
-func EncodeForward(request *ebonyworks.ForwardRequest, revision ebonyworks.Revision, now time.Time) *peerv1.ForwardRequest {
+func EncodeForward(request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation, now time.Time) *peerv1.ForwardRequest {
 	return &peerv1.ForwardRequest{
-		Revision:             uint64(revision),
+		Revision:             uint64(terms.Revision),
 		Id:                   string(request.ID),
 		Host:                 request.Host,
 		Method:               request.Method,
@@ -21,13 +22,18 @@
 		Body:                 request.Body,
 		ElapsedMicroseconds:  microseconds(now.Sub(request.Arrival)),
 		PatienceMicroseconds: microseconds(request.Patience),
+		Fallbacks:            encodeTags(terms.Fallbacks),
 	}
 }
 
-// DecodeForward returns the request and the configuration that it runs under.
-func DecodeForward(wire *peerv1.ForwardRequest, now time.Time) (*ebonyworks.ForwardRequest, ebonyworks.Revision, error) {
+// DecodeForward returns the request and what the host that runs it keeps to.
+func DecodeForward(wire *peerv1.ForwardRequest, now time.Time) (*ebonyworks.ForwardRequest, ebonyworks.Delegation, error) {
 	if !validName(wire.GetId()) || wire.GetMethod() == "" || wire.GetTarget() == "" {
-		return nil, 0, ErrName
+		return nil, ebonyworks.Delegation{}, ErrName
+	}
+	terms := ebonyworks.Delegation{
+		Revision:  ebonyworks.Revision(wire.GetRevision()),
+		Fallbacks: decodeTags(wire.GetFallbacks()),
 	}
 	return &ebonyworks.ForwardRequest{
 		ID:       ebonyworks.RequestID(wire.GetId()),
@@ -38,7 +44,7 @@
 		Body:     wire.GetBody(),
 		Arrival:  now.Add(-positive(wire.GetElapsedMicroseconds())),
 		Patience: positive(wire.GetPatienceMicroseconds()),
-	}, ebonyworks.Revision(wire.GetRevision()), nil
+	}, terms, nil
 }
 
 // EncodeReply returns the wire form of a reply, or of a declined request.
@@ -81,6 +87,26 @@
 	}, true
 }
 
+// encodeTags returns the tags in little-endian order.
+func encodeTags(tags []ebonyworks.ServerTag) []byte {
+	encoded := make([]byte, 0, tagBytes*len(tags))
+	for _, tag := range tags {
+		encoded = binary.LittleEndian.AppendUint16(encoded, uint16(tag))
+	}
+	return encoded
+}
+
+func decodeTags(encoded []byte) []ebonyworks.ServerTag {
+	tags := make([]ebonyworks.ServerTag, 0, len(encoded)/tagBytes)
+	for ; len(encoded) >= tagBytes; encoded = encoded[tagBytes:] {
+		tags = append(tags, ebonyworks.ServerTag(binary.LittleEndian.Uint16(encoded)))
+	}
+	return tags
+}
+
+// tagBytes is the encoded size of a tag.
+const tagBytes = 2
+
 func microseconds(duration time.Duration) uint64 {
 	return uint64(max(duration, 0).Microseconds())
 }
--- a/transport/courier/client.go
+++ b/transport/courier/client.go
@@ -150,9 +150,9 @@
 }
 
 // Forward runs an idempotent request on the host.
-func (c *Client) Forward(ctx context.Context, to ebonyworks.Host, request *ebonyworks.ForwardRequest, revision ebonyworks.Revision) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+func (c *Client) Forward(ctx context.Context, to ebonyworks.Host, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
 	ctx, sent := withGate(ctx)
-	wire, err := c.client(to.Address).Forward(ctx, dispatch.EncodeForward(request, revision, time.Now()))
+	wire, err := c.client(to.Address).Forward(ctx, dispatch.EncodeForward(request, terms, time.Now()))
 	if err != nil {
 		if sent.seal() {
 			return ebonyworks.ForwardReply{}, ebonyworks.NotDelivered
--- a/transport/courier/server.go
+++ b/transport/courier/server.go
@@ -180,11 +180,11 @@
 	if !ok {
 		return &peerv1.ForwardResponse{Declined: true}, nil
 	}
-	forwarded, revision, err := dispatch.DecodeForward(request, time.Now())
+	forwarded, terms, err := dispatch.DecodeForward(request, time.Now())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	reply, accepted := handler.HandleForward(ctx, forwarded, revision)
+	reply, accepted := handler.HandleForward(ctx, forwarded, terms)
 	return dispatch.EncodeReply(&reply, accepted), nil
 }
 
