--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -133,6 +133,7 @@
 		return f.turnedAway(request, table.Configuration().Revision, ebonyworks.ForwardReply{Kind: ebonyworks.ReplyNoRoute, Reason: "no route accepts the request"})
 	}
 	revision := table.Configuration().Revision
+	request.Merged = route.Scattered()
 	if f.Delegation == nil || !route.Scattered() {
 		return f.run(ctx, request, route, revision, origin{})
 	}
@@ -178,6 +179,7 @@
 	if !ok || !route.Idempotent || len(route.Shards) != len(terms.Fallbacks) {
 		return ebonyworks.ForwardReply{}, false
 	}
+	request.Merged = route.Scattered()
 	return f.run(ctx, request, route, terms.Revision, origin{relayed: true, fallbacks: terms.Fallbacks}), true
 }
 
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -89,7 +89,6 @@
 		early:  request.Arrival.Add(sealTime(route.TargetLatency, from.relayed)),
 		grace:  lateGrace,
 	}
-	request.Merged = route.Scattered()
 	legs := make([]leg, len(needed))
 	r.legs = make([]*leg, len(needed))
 	for i, service := range needed {
