Keep hosts from following each other, and from calling the store while they start

Reports now name the hosts between the sender and the store, and a host passes over those that follow it. Without the check TestHostsDontFollowEachOther fails.

Hosts look for a source twice as often and call the store half as often during an outage. The log says why a source was left.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -38,7 +38,7 @@
 	// jitter. The longest one is a fraction of the 3 s in which changes have
 	// to be in force.
 	firstBackoff = 150 * time.Millisecond
-	maxBackoff   = time.Second
+	maxBackoff   = 500 * time.Millisecond
 )
 
 // Follower keeps the directory and the routes up to date with the store. Its
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -33,6 +33,8 @@
 	// Returned returns how long ago the store came back; zero if it wasn't away
 	// lately.
 	Returned() time.Duration
+	// Via returns the hosts between this one and the store, the nearest one last.
+	Via() []ebonyworks.HostID
 }
 
 var (
@@ -110,7 +112,7 @@
 	if !fresh {
 		return ebonyworks.StoreReport{Stale: true}
 	}
-	report := ebonyworks.StoreReport{Age: age}
+	report := ebonyworks.StoreReport{Age: age, Via: r.freshness.Via()}
 	if r.content.AsOf() > after || after == 0 {
 		report.StoreListing = r.content.Since(after)
 	} else {
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -26,6 +26,7 @@
 func (c *content) Ready() bool                    { return true }
 func (c *content) Age() (time.Duration, bool)     { return c.age, c.fresh }
 func (c *content) Returned() time.Duration        { return 0 }
+func (c *content) Via() []ebonyworks.HostID       { return []ebonyworks.HostID{"reader"} }
 
 func (c *content) Since(after ebonyworks.StoreRevision) ebonyworks.StoreListing {
 	return ebonyworks.StoreListing{AsOf: c.asOf, Complete: after == 0, Changes: []ebonyworks.StoreChange{{Revision: c.asOf, Removed: "a"}}}
@@ -58,6 +59,7 @@
 		assert.Equal(t, 100*time.Millisecond, time.Since(begin))
 		assert.Len(t, report.Changes, 1)
 		assert.Equal(t, time.Second, report.Age)
+		assert.Equal(t, []ebonyworks.HostID{"reader"}, report.Via)
 		report, err = served.Follow(t.Context(), 0, time.Second)
 		require.NoError(t, err)
 		assert.True(t, report.Complete)
--- a/coordination/upstream/fleet_test.go
+++ b/coordination/upstream/fleet_test.go
@@ -45,6 +45,8 @@
 	mutex           sync.Mutex
 	messages, bytes int
 	farBytes        int
+	// mute keeps hosts from telling each other what they know.
+	mute bool
 }
 
 // host is one host of the fleet. Its state and its life are guarded by the fleet's
@@ -166,7 +168,7 @@
 		case <-time.After(exchangeTime):
 		}
 		other := h.fleet.hosts[random.IntN(len(h.fleet.hosts))]
-		if h.fleet.delay(h, other) < 0 {
+		if h.fleet.delay(h, other) < 0 || h.fleet.isMute() {
 			continue
 		}
 		theirs := other.current()
@@ -181,6 +183,12 @@
 	}
 }
 
+func (f *fleet) isMute() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.mute
+}
+
 func (h *host) set(state hostState) {
 	h.fleet.mutex.Lock()
 	defer h.fleet.mutex.Unlock()
@@ -368,6 +376,11 @@
 		{"readers die", func(f *fleet) { f.fail(dead, f.readers()) }, applyTime},
 		{"readers freeze", func(f *fleet) { f.fail(silent, f.readers()) }, applyTime},
 		{"readers are turned away", func(f *fleet) { f.turnAway(metadata.Refused, f.readers()) }, applyTime},
+		{"one reader is turned away", func(f *fleet) { f.turnAway(metadata.Refused, f.readers()[:1]) }, applyTime / 2},
+		{"one reader and a third of the hosts are turned away", func(f *fleet) {
+			f.turnAway(metadata.Refused, f.readers()[:1])
+			f.turnAway(metadata.Refused, f.each(3))
+		}, applyTime},
 		{"readers hear nothing of the store", func(f *fleet) { f.turnAway(metadata.Silent, f.readers()) }, applyTime},
 		{"one host in three dies", func(f *fleet) { f.fail(dead, f.each(3)) }, applyTime},
 		{"one host in three freezes", func(f *fleet) { f.fail(silent, f.each(3)) }, applyTime},
@@ -429,7 +442,7 @@
 			f.store.SetTrouble(trouble)
 			f.register("server-1", true)
 			time.Sleep(10 * time.Second)
-			assert.Less(t, f.store.Calls()-before, 6*8*10*2, "eight hosts of each domain, about once a second")
+			assert.Less(t, f.store.Calls()-before, 6*4*10*2, "four hosts of each domain, about once a second")
 			f.store.SetTrouble(metadata.None)
 			assert.LessOrEqual(t, f.until(f.store.Revision()), applyTime)
 		})
@@ -445,7 +458,7 @@
 		f.store.Add(ebonyworks.StoreChange{Removed: "server-1"})
 		f.store.Add(ebonyworks.StoreChange{Removed: "server-2"})
 		f.store.SetTrouble(metadata.None)
-		f.until(f.store.Revision())
+		assert.Less(t, f.until(f.store.Revision()), 2*time.Second)
 		assert.Equal(t, len(f.hosts), f.using("server-1"))
 		f.register("server-1", false)
 		time.Sleep(5 * time.Second)
@@ -483,6 +496,20 @@
 	})
 }
 
+// Guards against a reader that is turned away and follows a host that follows it:
+// both would take each other's word for the state of the store.
+func TestHostsDontFollowEachOther(t *testing.T) {
+	inFleet(t, 16, 2, func(t *testing.T, f *fleet) {
+		f.mutex.Lock()
+		f.mute = true
+		f.mutex.Unlock()
+		f.turnAway(metadata.Refused, f.readers()[:1])
+		assert.LessOrEqual(t, f.until(f.configure(2)), applyTime/2)
+		time.Sleep(time.Second)
+		assert.LessOrEqual(t, f.until(f.configure(3)), applyTime/2)
+	})
+}
+
 // Guards against hosts without any way to the store that take each other's word
 // for its state, and pass it on.
 func TestHostsWithoutStoreGrowStale(t *testing.T) {
--- a/coordination/upstream/upstream.go
+++ b/coordination/upstream/upstream.go
@@ -42,7 +42,7 @@
 const (
 	// maxDeputies bounds the hosts of a domain that read the store while nobody
 	// knows its state, so that an outage costs no call of each host of the fleet.
-	maxDeputies = 8
+	maxDeputies = 4
 	// answerTime is what another host gets to answer beyond the wait.
 	answerTime = 400 * time.Millisecond
 	// listTime is what another host gets to send everything.
@@ -55,18 +55,20 @@
 	staleAvoidTime = 250 * time.Millisecond
 	// lostAsks is the number of hosts, besides the first one of the domain, that
 	// are asked at a time while nobody knows the state of the store.
-	lostAsks = 3
+	lostAsks = 2
 	// firstStorePause and maxStorePause bound the pause after a failed call of
-	// the store while other hosts know its state.
+	// the store while other hosts know its state, and lostStorePause while nobody
+	// does.
 	firstStorePause = 250 * time.Millisecond
 	maxStorePause   = 3 * time.Second
+	lostStorePause  = time.Second
 	// startPatience is how long a host that starts looks for others that know the
 	// store, plus up to as much again, before it reads the store itself. Seeds
 	// answer within milliseconds, and a host is found through them.
 	startPatience = 500 * time.Millisecond
-	// readerPatience is the same for the first host of a domain: if all hosts
-	// start together, the others wait for it.
-	readerPatience = 100 * time.Millisecond
+	// readerPatience is the same for the first host of a domain, from when it has
+	// met another host: if all hosts start together, the others wait for it.
+	readerPatience = 250 * time.Millisecond
 	// startInterval is the time between two looks, and startAvoidTime that between
 	// two questions to one host, which may be starting as well.
 	startInterval  = 25 * time.Millisecond
@@ -85,6 +87,8 @@
 	// returnError is how much later than known a return of the store has to be to
 	// be another one. Each host that passes it on adds the way of a message.
 	returnError = time.Second
+	// maxVia bounds the hosts between the store and one that is followed.
+	maxVia = 3
 	// maxAvoided bounds the hosts that aren't asked; the roster has no more.
 	maxAvoided = 4096
 )
@@ -120,6 +124,9 @@
 	returned time.Time
 	// lostAt is since when there is no source; zero while there is one.
 	lostAt time.Time
+	// othersLost is set if another host said, since there was a source, that it
+	// had none either: then it is the store that is away.
+	othersLost bool
 	// avoided has at most maxAvoided entries.
 	avoided map[ebonyworks.HostID]*avoidance
 	// storeFailures counts failed calls of the store since the last good one, and
@@ -130,8 +137,10 @@
 	gatherUntil time.Time
 	// source is the host that is followed; this one if it reads the store.
 	source ebonyworks.HostID
-	// leader is the last other host that was followed.
+	// leader is the last other host that was followed, and via are the hosts
+	// between it and the store.
 	leader ebonyworks.Host
+	via    []ebonyworks.HostID
 	// hint is a host that said that it knows the state of the store.
 	hint ebonyworks.Host
 	// order is the readership of the alive hosts as of orderAt.
@@ -139,6 +148,8 @@
 	alive   []ebonyworks.Host
 	orderAt time.Time
 	calls   uint64
+	// trouble is what was last wrong with a source, for the log.
+	trouble string
 }
 
 var _ ebonyworks.StoreReader = (*Upstream)(nil)
@@ -177,11 +188,14 @@
 
 // listFromHosts asks the hosts that become known for a while.
 func (u *Upstream) listFromHosts(ctx context.Context) (ebonyworks.StoreListing, bool) {
-	begin := time.Now()
-	deadline := begin.Add(startPatience + u.random(startPatience))
+	deadline := time.Now().Add(startPatience + u.random(startPatience))
+	var met time.Time
 	for time.Now().Before(deadline) {
 		order := u.readership(time.Now())
-		if order.Rank() == 0 && len(order.Others()) > 0 && time.Since(begin) >= readerPatience {
+		if met.IsZero() && len(order.Others()) > 0 {
+			met = time.Now()
+		}
+		if order.Rank() == 0 && !met.IsZero() && time.Since(met) >= readerPatience {
 			return ebonyworks.StoreListing{}, false
 		}
 		for _, host := range append(order.Before(), order.Others()...) {
@@ -319,12 +333,15 @@
 func (u *Upstream) mayRead(order readership.Readership, now time.Time) bool {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	if now.Before(u.storeAt) {
+		return false
+	}
 	if u.lostAt.IsZero() {
 		isNext := !slices.ContainsFunc(order.Before(), func(host ebonyworks.Host) bool {
 			known := u.avoided[host.ID]
 			return known == nil || known.failures == 0
 		})
-		return (isNext || u.source == u.Self.ID) && !now.Before(u.storeAt)
+		return isNext || u.source == u.Self.ID
 	}
 	periods := int(now.Sub(u.lostAt) / u.part(deputyPart))
 	return order.Rank() < min(1<<min(periods, maxDeputies), maxDeputies)
@@ -369,15 +386,20 @@
 	recovered := u.storeFailures > 0
 	switch {
 	case err == nil:
-		if !u.lostAt.IsZero() && recovered {
+		if !u.lostAt.IsZero() && (recovered || u.othersLost) {
 			u.returned = now
 		}
 		u.storeFailures = 0
 		u.lostAt = time.Time{}
+		u.othersLost = false
 	case ctx.Err() != nil || isHistoryGone(err):
 	default:
 		u.storeFailures++
+		u.trouble = "store: " + err.Error()
 		pause := min(firstStorePause<<min(u.storeFailures-1, 8), maxStorePause)
+		if !u.lostAt.IsZero() {
+			pause = min(pause, lostStorePause)
+		}
 		u.storeAt = now.Add(u.spread(pause))
 	}
 	u.mutex.Unlock()
@@ -478,9 +500,12 @@
 	case err != nil:
 		known := u.avoid(host.ID, now, 0)
 		known.failures++
+		u.trouble = "host " + string(host.ID) + ": " + err.Error()
 		known.until = now.Add(u.spread(min(firstAvoidTime<<min(known.failures-1, 8), maxAvoidTime)))
 		return ebonyworks.StoreReport{}, false
-	case report.Stale || report.Age > u.part(maxAgePart):
+	case report.Stale || report.Age > u.part(maxAgePart) || u.isLoop(&report):
+		u.othersLost = u.othersLost || report.Stale
+		u.trouble = "host " + string(host.ID) + ": " + u.defect(&report)
 		u.avoid(host.ID, now, u.spread(staleAvoidTime)).failures = 0
 		return ebonyworks.StoreReport{}, false
 	}
@@ -488,8 +513,26 @@
 	return report, true
 }
 
+// defect tells why a report isn't used.
+func (u *Upstream) defect(report *ebonyworks.StoreReport) string {
+	switch {
+	case report.Stale:
+		return "has no source"
+	case report.Age > u.part(maxAgePart):
+		return "knows the store as of " + report.Age.String() + " ago"
+	default:
+		return "follows this host, or is too far from the store"
+	}
+}
+
+// isLoop reports whether the host follows this one, so that what it knows comes
+// from here, or is too many hosts away from the store.
+func (u *Upstream) isLoop(report *ebonyworks.StoreReport) bool {
+	return len(report.Via) >= maxVia || slices.Contains(report.Via, u.Self.ID)
+}
+
 // transit returns how long an answer was on its way, at least. Hosts that follow
-// each other without any reader of the store would otherwise never grow stale.
+// each other without any reader of the store would otherwise grow stale late.
 func transit(elapsed, wait time.Duration) time.Duration {
 	if elapsed <= transitTime {
 		return elapsed
@@ -531,7 +574,8 @@
 	u.confirm(now.Add(-report.Age))
 	u.mutex.Lock()
 	u.lostAt = time.Time{}
-	u.leader = host
+	u.othersLost = false
+	u.leader, u.via = host, report.Via
 	if report.Returned > 0 {
 		if returned := now.Add(-report.Returned); returned.Sub(u.returned) > returnError {
 			u.returned = returned
@@ -546,13 +590,16 @@
 	u.mutex.Lock()
 	before := u.source
 	u.source = source
+	trouble := u.trouble
+	u.trouble = ""
 	u.mutex.Unlock()
 	if before == source || u.Recorder == nil {
 		return
 	}
 	u.Recorder.Record(event.New(event.SourceChanged,
 		event.Attribute("Source", u.name(source)),
-		event.Attribute("Before", u.name(before))))
+		event.Attribute("Before", u.name(before)),
+		event.Attribute("Trouble", trouble)))
 }
 
 // name returns how the log calls a source.
@@ -579,6 +626,16 @@
 	return age, age <= u.part(maxAgePart)
 }
 
+// Via returns the hosts between this one and the store, the nearest one last.
+func (u *Upstream) Via() []ebonyworks.HostID {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.source == u.Self.ID || u.source == "" {
+		return nil
+	}
+	return append(slices.Clone(u.via), u.source)
+}
+
 // Reads reports whether the source is the store itself.
 func (u *Upstream) Reads() bool {
 	u.mutex.Lock()
--- a/forwarding.go
+++ b/forwarding.go
@@ -270,6 +270,9 @@
 	// Stale is set if the host has no source that knows the state of the store.
 	// The listing is empty then.
 	Stale bool
+	// Via are the hosts through which the host follows the store, its own source
+	// last. It is empty if the host reads the store itself.
+	Via []HostID
 }
 
 // StorePeer reads the platform's store through other hosts.
--- a/protocol/dispatch/follow.go
+++ b/protocol/dispatch/follow.go
@@ -27,6 +27,9 @@
 		Complete:        report.Complete,
 		Changes:         changes,
 	}
+	for _, host := range report.Via {
+		wire.Via = append(wire.Via, string(host))
+	}
 	if report.Returned > 0 {
 		returned := milliseconds(report.Returned)
 		wire.ReturnedMilliseconds = &returned
@@ -41,6 +44,9 @@
 		Age:          duration(wire.GetAgeMilliseconds()),
 		Stale:        wire.GetStale(),
 	}
+	for _, host := range wire.GetVia() {
+		report.Via = append(report.Via, ebonyworks.HostID(host))
+	}
 	if wire.ReturnedMilliseconds != nil {
 		report.Returned = max(duration(wire.GetReturnedMilliseconds()), 1)
 	}
--- a/transport/courier/courier_test.go
+++ b/transport/courier/courier_test.go
@@ -279,6 +279,7 @@
 	report := ebonyworks.StoreReport{
 		StoreListing: ebonyworks.StoreListing{AsOf: 7, Complete: true, Returned: 3 * time.Second},
 		Age:          200 * time.Millisecond,
+		Via:          []ebonyworks.HostID{"reader", "deputy"},
 	}
 	configuration := &ebonyworks.ForwardConfiguration{Revision: 2}
 	for i := range 3000 {
