Ask members again until they know of few others after a start

Ten hosts of each domain took themselves for its first one and read the store, some until 4 s before the traffic.

TestHostsThatStartTogetherMeetSoon: 23 of 200 known after 3 s before, all now.

--- a/coordination/guild/guild_test.go
+++ b/coordination/guild/guild_test.go
@@ -347,3 +347,27 @@
 	require.NoError(t, err)
 	assert.Len(t, reply.Members, 402)
 }
+
+// Guards against hosts that start together and know a part of each other only for
+// ten seconds and more: shares of what the fleet may use, and the choice of the
+// hosts that read for others, depend on the number of hosts.
+func TestHostsThatStartTogetherMeetSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 200
+		p := newParty(0, 0)
+		defer func() { p.stopAll() }()
+		for i := range size {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7443)
+			p.hosts = append(p.hosts, ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprintf("entry-%03d", i)), Incarnation: 1, Address: address})
+			p.stops = append(p.stops, nil)
+			p.start(i, nil)
+			time.Sleep(300 * time.Millisecond / size)
+		}
+		time.Sleep(2700 * time.Millisecond)
+		fewest := size
+		for i := range size {
+			fewest = min(fewest, len(p.guild(i).Alive())+1)
+		}
+		assert.GreaterOrEqual(t, fewest, size*95/100)
+	})
+}
--- a/coordination/guild/refresh.go
+++ b/coordination/guild/refresh.go
@@ -17,6 +17,13 @@
 	refreshPeers = 5
 	refreshFirst = 100 * time.Millisecond
 	refreshLast  = 2 * time.Second
+	// fillInterval is the time between two questions for everything, to a seed and
+	// to another member, while they bring more than fillPart of the members, at
+	// most maxFills times. Hosts that start together meet one after the other; one
+	// that is asked late knows more than the first ones did.
+	fillInterval = 400 * time.Millisecond
+	fillPart     = 0.02
+	maxFills     = 8
 	// listOften and listSeldom are the intervals of reading the host list: by
 	// the few hosts that read for all, and by the others.
 	listOften  = time.Second
@@ -103,6 +110,7 @@
 			}
 			wait = min(2*wait, refreshLast)
 		}
+		g.fill(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -111,6 +119,38 @@
 	}
 }
 
+// fill asks for everything until that brings hardly any new member.
+func (g *Guild) fill(ctx context.Context) {
+	for range maxFills {
+		if !wakeup.Wait(ctx, g.jitter(fillInterval, 0.3), nil) {
+			return
+		}
+		known := g.roster.Size()
+		if !g.askAll(ctx, g.fillTargets()) {
+			continue
+		}
+		if added := g.roster.Size() - known; float64(added) <= fillPart*float64(known) {
+			return
+		}
+	}
+}
+
+// fillTargets returns the address of a member and of a seed.
+func (g *Guild) fillTargets() []netip.AddrPort {
+	var alive, seeds []netip.AddrPort
+	for _, host := range g.roster.Alive() {
+		alive = append(alive, host.Address)
+	}
+	for _, seed := range g.config.Seeds {
+		if seed != g.config.Self.Address {
+			seeds = append(seeds, seed)
+		}
+	}
+	g.shuffle(alive)
+	g.shuffle(seeds)
+	return append(alive[:min(len(alive), 1)], seeds[:min(len(seeds), 1)]...)
+}
+
 // tryRefresh succeeds if a peer answered, or if none does but the host list
 // could be read.
 func (g *Guild) tryRefresh(ctx context.Context) bool {
