Let a host that restarts read the store after 50 ms without a source

Cause: a host looked for a source for 0.5 to 1 s, among members as it knew them at its start, when it knew none. After a planned restart it was ready after 0.53 s instead of 0.03 s, and after the loss of all hosts as late. The order of hosts is now computed anew at each look, and only the first start of the fleet is patient (the settings say so).

--- a/coordination/upstream/fleet_test.go
+++ b/coordination/upstream/fleet_test.go
@@ -144,7 +144,7 @@
 func (h *host) start(seed uint64) {
 	up := &upstream.Upstream{
 		Self: h.self, Store: cutStore{h, h.fleet.store.Reader(h.self.ID)}, Peers: h, Alive: h.others,
-		Seed: h == h.fleet.hosts[0], ApplyTime: applyTime, Random: rand.New(rand.NewPCG(seed, 1)),
+		Seed: h == h.fleet.hosts[0], FirstStart: seed < 1000, ApplyTime: applyTime, Random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	follower := &registry.Follower{Store: up, Directory: &directory.Directory{}, ApplyTime: applyTime, Random: rand.New(rand.NewPCG(seed, 2))}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/coordination/upstream/upstream.go
+++ b/coordination/upstream/upstream.go
@@ -64,15 +64,17 @@
 	lostStorePause  = time.Second
 	// startPatience is how long a host that starts looks for others that know the
 	// store, plus up to as much again, before it reads the store itself. Seeds
-	// answer within milliseconds, and a host is found through them.
-	startPatience = 500 * time.Millisecond
+	// that work answer within milliseconds. At the first start of the fleet, seeds
+	// start as well, and no caller waits.
+	startPatience      = 50 * time.Millisecond
+	firstStartPatience = 500 * time.Millisecond
 	// readerPatience is the same for the first host of a domain, from when it has
 	// met another host: if all hosts start together, the others wait for it.
 	readerPatience = 250 * time.Millisecond
 	// startInterval is the time between two looks, and startAvoidTime that between
 	// two questions to one host, which may be starting as well.
-	startInterval  = 25 * time.Millisecond
-	startAvoidTime = 100 * time.Millisecond
+	startInterval  = 5 * time.Millisecond
+	startAvoidTime = 50 * time.Millisecond
 	// viewTime is how long an order of the hosts is used.
 	viewTime = 500 * time.Millisecond
 	// backlog is the number of changes in one watch from which more are taken to
@@ -108,6 +110,8 @@
 	// Seed is set if others find each other through this host, so that it has
 	// nobody to ask when it starts.
 	Seed bool
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
 	// ApplyTime is the time in which changes have to be in force. Zero means
 	// three seconds.
 	ApplyTime time.Duration
@@ -188,10 +192,14 @@
 
 // listFromHosts asks the hosts that become known for a while.
 func (u *Upstream) listFromHosts(ctx context.Context) (ebonyworks.StoreListing, bool) {
-	deadline := time.Now().Add(startPatience + u.random(startPatience))
+	patience := startPatience
+	if u.FirstStart {
+		patience = firstStartPatience
+	}
+	deadline := time.Now().Add(patience + u.random(patience))
 	var met time.Time
 	for time.Now().Before(deadline) {
-		order := u.readership(time.Now())
+		order := u.currentReadership(time.Now())
 		if met.IsZero() && len(order.Others()) > 0 {
 			met = time.Now()
 		}
@@ -673,14 +681,22 @@
 	return max(ago, 1)
 }
 
-// readership returns the order of the hosts.
+// readership returns the order of the hosts, which may be viewTime old.
 func (u *Upstream) readership(now time.Time) readership.Readership {
 	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	if !u.orderAt.IsZero() && now.Sub(u.orderAt) < viewTime {
-		return u.order
+	order, orderAt := u.order, u.orderAt
+	u.mutex.Unlock()
+	if !orderAt.IsZero() && now.Sub(orderAt) < viewTime {
+		return order
 	}
+	return u.currentReadership(now)
+}
+
+// currentReadership returns the order of the hosts that are alive now.
+func (u *Upstream) currentReadership(now time.Time) readership.Readership {
 	alive := u.Alive()
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
 	if u.orderAt.IsZero() || !slices.Equal(alive, u.alive) {
 		u.order = readership.New(u.Self, alive)
 		u.alive = alive
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,9 @@
 	Store       ebonyworks.StoreReader
 	Backend     ebonyworks.ForwardBackend
 	Connections ConnectionKeeper
+	// FirstStart is set if the whole fleet starts for the first time, so that no
+	// caller waits for this host yet.
+	FirstStart bool
 	// Repeats bounds the repeats of all hosts together.
 	Repeats allowance.Bound
 	// ApplyTime is the time in which changes of the store have to be in force.
@@ -138,14 +141,15 @@
 	g.guild.Attach(viewCarrier{g})
 	g.guild.Attach(guild.CrashCarrier{Book: g.inspector})
 	g.upstream = &upstream.Upstream{
-		Self:      options.Self,
-		Store:     options.Store,
-		Peers:     options.StorePeer,
-		Alive:     g.guild.Alive,
-		Seed:      !othersSeeded(options.Self.Address, options.Seeds) || slices.Contains(options.Seeds, options.Self.Address),
-		ApplyTime: options.ApplyTime,
-		Recorder:  options.Recorder,
-		Random:    random(upstreamStream),
+		Self:       options.Self,
+		Store:      options.Store,
+		Peers:      options.StorePeer,
+		Alive:      g.guild.Alive,
+		FirstStart: options.FirstStart,
+		Seed:       !othersSeeded(options.Self.Address, options.Seeds) || slices.Contains(options.Seeds, options.Self.Address),
+		ApplyTime:  options.ApplyTime,
+		Recorder:   options.Recorder,
+		Random:     random(upstreamStream),
 	}
 	g.follower = &registry.Follower{
 		Store:     g.upstream,
