End attempts with their use, hedge in spite of single queues, seal later

Servers pause for 250 ms every 6 s, exactly; what arrives meanwhile stays in their queues although other servers have answered it, and is worked off after the pause.

- Attempts whose response isn't needed any more end at once, not 150 ms after their request.
That time was chosen for pauses of 120 ms and work of 11 ms.
- A crowded server withholds a second attempt only while queues stand at many servers.
The log says why a second attempt was withheld.
- Incomplete answers wait for 0.9 of the target in place of 0.78; the time to return, 15 ms, is left in any case.

Ruled out: earlier hedges (most misses had a hedge or a reason against it); the phase of pauses, which hosts could learn (their period is exact), since each host sees one pause in two on 9 hosts and one in ten on 295.

--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,9 @@
 	response ebonyworks.ServerResponse
 	// ended is set by the run when it has taken the end.
 	ended bool
+	// sending ends with the attempt's use: its connection is closed then.
+	sending context.Context
+	cancel  context.CancelFunc
 }
 
 // do waits for a permit, sends the request and passes on what it taught.
@@ -68,8 +72,9 @@
 		permit.Release(a.record)
 		return
 	}
+	defer a.cancel()
 	start := time.Now()
-	outcome := f.Backend.Send(run.sending, a.candidate.Server, run.request, run.deadline)
+	outcome := f.Backend.Send(a.sending, a.candidate.Server, run.request, run.deadline)
 	a.record.Latency = time.Since(start)
 	a.record.Result = a.check(&outcome)
 	a.record.Report = outcome.Report
--- a/coordination/fanout/faults_test.go
+++ b/coordination/fanout/faults_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,3 +223,75 @@
 		assert.LessOrEqual(t, reached, 2, "MaxAttempts of the route")
 	})
 }
+
+// pausing is a backend one of whose servers stands still for a while, with its
+// requests in a queue, and works them off afterwards.
+type pausing struct {
+	*world
+	server   ebonyworks.ServerID
+	from, to time.Time
+	slots    chan struct{}
+	// worked counts the requests of the pause that were worked off after it.
+	worked atomic.Int32
+}
+
+// Send runs the request, late if it meets the pause.
+func (p *pausing) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+	now := time.Now()
+	if to.ID != p.server || now.Before(p.from) || !now.Before(p.to) {
+		return p.world.Send(ctx, to, request, deadline)
+	}
+	select {
+	case <-time.After(time.Until(p.to)):
+	case <-ctx.Done():
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptCancelled}
+	}
+	select {
+	case p.slots <- struct{}{}:
+		defer func() { <-p.slots }()
+	case <-ctx.Done():
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptCancelled}
+	}
+	p.worked.Add(1)
+	return p.world.Send(ctx, to, request, deadline)
+}
+
+// Guards against a backlog of requests that were answered by other servers long
+// ago: each server pauses for 250 ms every few seconds, and what arrived from many
+// hosts meanwhile would keep it busy for as long again.
+func TestPauseLeavesNoBacklog(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		const hosts = 12
+		backend := &pausing{world: w, server: server(3, "a"), slots: make(chan struct{}, 2)}
+		fleet := make([]*fanout.Forwarder, hosts)
+		for i := range fleet {
+			fleet[i] = w.forwarder(backend, w.Table, rand.New(rand.NewPCG(uint64(i), 1)), hosts, 1)
+		}
+		time.Sleep(repeatBound.Window)
+		ask := func(round int) {
+			for i, host := range fleet {
+				id := ebonyworks.RequestID(fmt.Sprintf("%d-%d", round, i))
+				go host.Forward(context.Background(), &ebonyworks.ForwardRequest{
+					ID: id, Host: "h", Method: "GET", Target: "/all/" + string(id), Arrival: time.Now(), Patience: timeout,
+				})
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		for round := range 20 {
+			ask(round)
+		}
+		// Another shard keeps the requests open until they are sealed.
+		w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+			if strings.HasPrefix(string(id), "shard-07") {
+				return served(time.Minute)
+			}
+			return served(usual)
+		})
+		backend.from = time.Now()
+		backend.to = backend.from.Add(250 * time.Millisecond)
+		for round := range 10 {
+			ask(20 + round)
+		}
+		assert.LessOrEqual(t, backend.worked.Load(), int32(2), "requests that met the pause and were worked off after it")
+	})
+}
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -22,7 +23,8 @@
 	// share bounds the servers that this host may ask.
 	share share
 	// asked are the servers that got an attempt.
-	asked []ebonyworks.ServerID
+	asked    []ebonyworks.ServerID
+	attempts []*attempt
 	// started counts the attempts, and spent those that may have run.
 	started, spent int
 	inFlight       int
@@ -48,6 +50,8 @@
 	crowded, hopeless bool
 	// starved is set if a repeat was needed and not allowed.
 	starved bool
+	// withheld is why a hedge that was due wasn't made; empty if none was due.
+	withheld string
 }
 
 func (l *leg) open() bool { return !l.done && l.inFlight > 0 }
@@ -64,6 +68,8 @@
 		return "no server of service " + string(l.id) + " is usable"
 	case l.inFlight > 0 && l.starved:
 		return "no response of service " + string(l.id) + " in time, and the repeat budget is used up"
+	case l.inFlight > 0 && l.withheld != "":
+		return "no response of service " + string(l.id) + " in time after " + strconv.Itoa(l.started) + " attempts: " + l.withheld
 	case l.inFlight > 0:
 		return "no response of service " + string(l.id) + " in time after " + strconv.Itoa(l.started) + " attempts"
 	case l.starved:
@@ -142,9 +148,18 @@
 	}
 	candidate, ok := l.choose()
 	if !ok || candidate.Failing {
+		l.withheld = "no other server works"
 		return
 	}
-	if candidate.InFlight >= candidate.Limit || !hasFreeSlot(&candidate, l.view.Slots) {
+	switch {
+	case candidate.InFlight >= candidate.Limit:
+		l.withheld = "no permit is free at another server"
+	case l.run.admission.overloaded() && !hasFreeSlot(&candidate, l.view.Slots):
+		l.withheld = "queues stand at the other servers"
+	default:
+		l.withheld = ""
+	}
+	if l.withheld != "" {
 		l.due = now.Add(l.run.recheckTime())
 		return
 	}
@@ -175,6 +190,7 @@
 		l.done = true
 		l.due = time.Time{}
 		l.response = end.response
+		l.abandonOthers()
 		return
 	case end.record.Result == ebonyworks.AttemptFailed:
 		l.run.prove(now)
@@ -185,6 +201,15 @@
 	}
 }
 
+// abandonOthers ends the attempts whose response is no longer needed.
+func (l *leg) abandonOthers() {
+	for _, other := range l.attempts {
+		if !other.ended {
+			other.cancel()
+		}
+	}
+}
+
 // retry starts another attempt after a failed one.
 func (l *leg) retry(failed ebonyworks.AttemptResult, now time.Time) {
 	l.due = time.Time{}
@@ -244,6 +269,8 @@
 	l.inFlight++
 	l.run.inFlight++
 	started := &attempt{leg: l, candidate: candidate, kind: kind, charged: charged}
+	started.sending, started.cancel = context.WithCancel(l.run.sending)
+	l.attempts = append(l.attempts, started)
 	l.run.attempts = append(l.run.attempts, started)
 	go started.do()
 }
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -113,10 +113,11 @@
 }
 
 // hasFreeSlot reports whether a second attempt at the server takes a slot that
-// would be free otherwise. It answers the load in which most slots are in use:
-// second attempts at a fifth of the legs then take the room that is left, and make
-// the first ones late. A single report is older than the queue that it tells of,
-// so a server that isn't crowded on average gets the attempt.
+// would be free otherwise. It is asked while queues stand at many servers, and
+// answers the load in which most slots are in use: second attempts at a fifth of
+// the legs then take the room that is left, and make the first ones late. A single
+// report is older than the queue that it tells of, so a server that isn't crowded
+// on average gets the attempt.
 func hasFreeSlot(candidate *ebonyworks.Candidate, slots int) bool {
 	return candidate.SlotsBusy < slots || !crowded(candidate, slots)
 }
--- a/coordination/fanout/overload_test.go
+++ b/coordination/fanout/overload_test.go
@@ -277,3 +277,51 @@
 		assert.Equal(t, 4, strings.Count(w.reports[0].Missed, "no server of service"))
 	})
 }
+
+// crowding makes the reports of some servers say that queues stand there.
+type crowding struct {
+	fanout.Servers
+	crowded func(server ebonyworks.ServerID) bool
+}
+
+// Candidates returns the servers with the reports.
+func (c crowding) Candidates(service *ebonyworks.Service, idempotent bool) []ebonyworks.Candidate {
+	candidates := c.Servers.Candidates(service, idempotent)
+	for i := range candidates {
+		if c.crowded(candidates[i].Server.ID) {
+			candidates[i].SlotsBusy, candidates[i].Queued, candidates[i].Demand = 2, 4, 6
+		}
+	}
+	return candidates
+}
+
+// Guards against a shard that is left out since the last reports of its other
+// server tell of the short queue after a pause, and against second attempts while
+// queues stand at many servers.
+func TestHedgesInSpiteOfOneQueue(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		crowded func(server ebonyworks.ServerID) bool
+		missing int
+	}{
+		{"at the other server", func(id ebonyworks.ServerID) bool { return id == server(3, "b") }, 0},
+		{"at all servers", func(ebonyworks.ServerID) bool { return true }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) {
+				w.warmUp()
+				w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+					if id == server(3, "a") {
+						return served(usual + 250*time.Millisecond)
+					}
+					return served(usual)
+				})
+				w.Servers = crowding{w.Servers, test.crowded}
+				reply, elapsed := w.ask("/all/1")
+				assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
+				assert.Equal(t, test.missing, reply.Missing)
+				assert.LessOrEqual(t, elapsed, target)
+			})
+		})
+	}
+}
--- a/coordination/fanout/queueing_test.go
+++ b/coordination/fanout/queueing_test.go
@@ -66,3 +66,26 @@
 		assert.LessOrEqual(t, retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), time.Hour, 1), maxRetryAfter)
 	}
 }
+
+// Guards against answers that are sent without shards although the target leaves
+// room, and against ones that are sent too late to arrive in time.
+func TestSealTime(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		target   time.Duration
+		relayed  bool
+		earliest time.Duration
+		latest   time.Duration
+	}{
+		{50 * ms, false, 35 * ms, 38 * ms},
+		{50 * ms, true, 30 * ms, 33 * ms},
+		{100 * ms, false, 80 * ms, 88 * ms},
+		{200 * ms, false, 175 * ms, 188 * ms},
+		{200 * ms, true, 170 * ms, 183 * ms},
+		{10 * ms, true, 5 * ms, 5 * ms},
+	} {
+		sealed := sealTime(test.target, test.relayed)
+		assert.GreaterOrEqual(t, sealed, test.earliest, "target %s", test.target)
+		assert.LessOrEqual(t, sealed, test.latest, "target %s", test.target)
+	}
+}
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// lingerTime is how long attempts that are no longer needed may go on
-	// before their connections are closed. Opening a connection costs a server
-	// about as much as the rest of a usual attempt, and pauses of servers end
-	// within this time.
-	lingerTime = 150 * time.Millisecond
 	// hedgeQuorum is the share of the legs that has to be done before others
 	// count as late.
 	hedgeQuorum = 0.6
@@ -108,7 +103,7 @@
 }
 
 // do runs the request until a reply is certain. Attempts that are still in
-// flight then have lingerTime to end.
+// flight then end.
 func (r *run) do(ctx context.Context) ebonyworks.ForwardReply {
 	if reply, refused := r.inspect(); refused {
 		return reply
@@ -223,15 +218,12 @@
 	}
 }
 
-// release ends the attempts that haven't been sent, and the others after
-// lingerTime.
+// release ends all attempts. Their servers are free for other requests at once; a
+// server that pauses would otherwise work them off afterwards, while requests that
+// need its answers wait behind them.
 func (r *run) release() {
 	r.stopWait()
-	if r.inFlight == 0 {
-		r.stopSend()
-		return
-	}
-	time.AfterFunc(lingerTime, r.stopSend)
+	r.stopSend()
 }
 
 // drain takes the ends that are in already, so that one wake-up handles all.
@@ -302,6 +294,7 @@
 		case typical:
 			leg.hedge(now)
 		default:
+			leg.withheld = "most shards are late"
 			leg.due = now.Add(r.recheckTime())
 		}
 	}
--- a/coordination/fanout/seal.go
+++ b/coordination/fanout/seal.go
@@ -4,11 +4,11 @@
 
 const (
 	// sealPart is the part of the target latency after which an answer without
-	// the slowest shards is worth more than a late one. The rest is the way
-	// from and to the caller, for which returnTime is left at least: two round
-	// trips of 3 ms each way when the caller opens a connection, and the
-	// sending.
-	sealPart   = 0.78
+	// the slowest shards is worth more than a late one. For the way from and to
+	// the caller returnTime is left at least: two round trips of 3 ms each way
+	// when the caller opens a connection, and the sending. The rest of the
+	// target covers the merging of many large parts.
+	sealPart   = 0.9
 	returnTime = 15 * time.Millisecond
 	// relayTime is left besides if another host passes the answer on.
 	relayTime = 5 * time.Millisecond
