--- a/backend.go
+++ b/backend.go
@@ -136,6 +136,8 @@
 	Hedge bool
 	// Retry is set for an attempt after a failed one.
 	Retry bool
+	// Cause explains an attempt without a usable response, for the log.
+	Cause string
 }
 
 // String returns the stable name of the result in metrics and traces.
--- a/coordination/delegation/delegator.go
+++ b/coordination/delegation/delegator.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	replies := make(chan delegated, 1)
 	kept := terms()
-	go func() { replies <- d.send(ctx, host, candidate, request, kept) }()
+	go func() { replies <- d.contained(ctx, host, candidate, request, kept) }()
 	fallback := time.NewTimer(time.Until(request.Arrival.Add(time.Duration(fallbackPart * float64(target)))))
 	defer fallback.Stop()
 	select {
@@ -95,7 +95,7 @@
 // returns the first answer.
 func (d *Delegator) both(ctx context.Context, replies <-chan delegated, host ebonyworks.Host, local Runner) (ebonyworks.ForwardReply, ebonyworks.HostID) {
 	own := make(chan ebonyworks.ForwardReply, 1)
-	go func() { own <- local(ctx, true) }()
+	go func() { own <- d.runLocally(ctx, local) }()
 	var last ebonyworks.ForwardReply
 	mayHaveRun := true
 	for range 2 {
@@ -135,6 +135,28 @@
 	return reply.Kind == ebonyworks.ReplyMerged || reply.Kind == ebonyworks.ReplyRelayed
 }
 
+// contained forwards the request. After a panic, the other host may have run it.
+func (d *Delegator) contained(ctx context.Context, host ebonyworks.Host, candidate ebonyworks.ServerID, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (end delegated) {
+	defer func() {
+		if value := recover(); value != nil {
+			event.RecordPanic(d.Recorder, "request "+string(request.ID)+" to host "+string(host.ID), value)
+			end = delegated{delivery: ebonyworks.DeliveryUnknown}
+		}
+	}()
+	return d.send(ctx, host, candidate, request, terms)
+}
+
+// runLocally runs the request on this host beside the other one.
+func (d *Delegator) runLocally(ctx context.Context, local Runner) (reply ebonyworks.ForwardReply) {
+	defer func() {
+		if value := recover(); value != nil {
+			event.RecordPanic(d.Recorder, "fallback of a delegated request", value)
+			reply = ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: "unexpected error of this host"}
+		}
+	}()
+	return local(ctx, true)
+}
+
 // send forwards the request and learns from the end.
 func (d *Delegator) send(ctx context.Context, host ebonyworks.Host, candidate ebonyworks.ServerID, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) delegated {
 	defer d.leave(candidate)
--- a/coordination/delegation/delegator_test.go
+++ b/coordination/delegation/delegator_test.go
@@ -204,3 +204,21 @@
 		assert.EqualValues(t, "large", host)
 	})
 }
+
+// Guards against an answer of another host that takes the process down, before and
+// after the host has run the request itself.
+func TestPanicOnAnswer(t *testing.T) {
+	for _, takes := range []time.Duration{0, 2 * target} {
+		synctest.Test(t, func(t *testing.T) {
+			delegator, others := newDelegator(ebonyworks.Host{ID: "large", Capacity: 0.8})
+			others.answer = func(context.Context, ebonyworks.HostID) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+				time.Sleep(takes)
+				panic("unexpected answer")
+			}
+			reply, _, _ := ask(delegator, &runner{kind: ebonyworks.ReplyMerged, takes: 3 * target})
+			assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
+			reply, _, _ = ask(delegator, &runner{kind: ebonyworks.ReplyRefused})
+			assert.NotEqual(t, ebonyworks.ReplyMerged, reply.Kind)
+		})
+	}
+}
--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
 )
 
 // attemptKind tells why an attempt was made.
@@ -42,9 +43,9 @@
 	response ebonyworks.ServerResponse
 	// ended is set by the run when it has taken the end.
 	ended bool
-	// sending ends with the attempt's use: its connection is closed then.
-	sending context.Context
-	cancel  context.CancelFunc
+	// waiting and sending end with the attempt's use: it gives up its place in the
+	// queue for a permit, or closes its connection.
+	waiting, sending use
 }
 
 // do waits for a permit, sends the request and passes on what it taught.
@@ -57,32 +58,55 @@
 		Hedge:   a.kind == attemptHedge || a.kind == attemptProbe,
 		Retry:   a.kind == attemptRetry,
 	}
-	a.run()
+	a.contained()
 	run.ends <- a
 }
 
+// contained runs the attempt. After a panic, the server may have run the request.
+func (a *attempt) contained() {
+	defer func() {
+		if value := recover(); value != nil {
+			a.record.Result = ebonyworks.AttemptLost
+			a.record.Cause = "unexpected error of this host"
+			a.response = ebonyworks.ServerResponse{}
+			event.RecordPanic(a.leg.run.forwarder.Recorder, "attempt of request "+string(a.leg.run.request.ID), value)
+		}
+	}()
+	a.run()
+}
+
 func (a *attempt) run() {
 	run := a.leg.run
 	f := run.forwarder
-	permit, ok := f.Quota.Acquire(run.waiting, a.leg.view, a.candidate.Server.ID)
+	defer a.abandon()
+	permit, ok := f.Quota.Acquire(&a.waiting, a.leg.view, a.candidate.Server.ID)
 	if !ok {
 		return
 	}
+	defer func() { permit.Release(a.record) }()
 	if !a.phase.CompareAndSwap(phaseWaiting, phaseSent) {
-		permit.Release(a.record)
 		return
 	}
-	defer a.cancel()
 	start := time.Now()
-	outcome := f.Backend.Send(a.sending, a.candidate.Server, run.request, run.deadline)
+	outcome := f.Backend.Send(&a.sending, a.candidate.Server, run.request, run.deadline)
 	a.record.Latency = time.Since(start)
 	a.record.Result = a.check(&outcome)
 	a.record.Report = outcome.Report
+	a.record.Cause = outcome.Cause
 	a.response = outcome.Response
+	if run.route.Scattered() {
+		a.response.Body = a.leg.trim(a.response.Body)
+	}
 	permit.Release(a.record)
 	a.learn()
 }
 
+// abandon ends the attempt: nobody needs its response.
+func (a *attempt) abandon() {
+	a.waiting.end(context.Canceled)
+	a.sending.end(context.Canceled)
+}
+
 // check turns a response that can't be a part of a merged answer into a failed
 // attempt.
 func (a *attempt) check(outcome *ebonyworks.ForwardAttempt) ebonyworks.AttemptResult {
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -96,7 +96,7 @@
 }
 
 // Forwarder runs opaque requests. Its fields are set before the first use;
-// Inspection, Observer and Delegation may be nil.
+// Inspection, Observer, Delegation and Recorder may be nil.
 type Forwarder struct {
 	// Domain is that of the host.
 	Domain ebonyworks.DomainID
@@ -114,6 +114,7 @@
 	Inspection ebonyworks.Inspection
 	Observer   Observer
 	Delegation Delegation
+	Recorder   ebonyworks.Recorder
 }
 
 var _ ebonyworks.Forwarder = (*Forwarder)(nil)
@@ -134,7 +135,7 @@
 	}
 	revision := table.Configuration().Revision
 	request.Merged = route.Scattered()
-	if f.Delegation == nil || !route.Scattered() {
+	if f.Delegation == nil || !route.Scattered() || len(request.Body) > maxDelegatedBody {
 		return f.run(ctx, request, route, revision, origin{})
 	}
 	terms := ebonyworks.Delegation{Revision: revision}
@@ -154,6 +155,10 @@
 	return reply
 }
 
+// maxDelegatedBody bounds the bodies of delegated requests in bytes. Messages
+// between hosts are bounded.
+const maxDelegatedBody = 1 << 20
+
 // turnedAway reports a request that no route was found for.
 func (f *Forwarder) turnedAway(request *ebonyworks.ForwardRequest, revision ebonyworks.Revision, reply ebonyworks.ForwardReply) ebonyworks.ForwardReply {
 	if f.Observer != nil {
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -1,12 +1,12 @@
 package fanout
 
 import (
-	"context"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/merging"
 )
 
 // maxResends bounds the attempts of a leg beyond MaxAttempts whose servers
@@ -23,8 +23,7 @@
 	// share bounds the servers that this host may ask.
 	share share
 	// asked are the servers that got an attempt.
-	asked    []ebonyworks.ServerID
-	attempts []*attempt
+	asked []ebonyworks.ServerID
 	// started counts the attempts, and spent those that may have run.
 	started, spent int
 	inFlight       int
@@ -203,13 +202,29 @@
 
 // abandonOthers ends the attempts whose response is no longer needed.
 func (l *leg) abandonOthers() {
-	for _, other := range l.attempts {
-		if !other.ended {
-			other.cancel()
+	if l.inFlight == 0 {
+		return
+	}
+	for _, other := range l.run.attempts {
+		if other.leg == l && !other.ended {
+			other.abandon()
 		}
 	}
 }
 
+// trim returns the records of a part that can be in the answer. A part may hold any
+// number of them.
+func (l *leg) trim(part []byte) []byte {
+	if len(part) <= trimAbove*l.run.route.TopRecords*merging.RecordSize {
+		return part
+	}
+	return merging.Greatest([][]byte{part}, l.run.route.TopRecords)
+}
+
+// trimAbove is how many times the records of an answer a part has to hold to be
+// trimmed before the others are in.
+const trimAbove = 4
+
 // retry starts another attempt after a failed one.
 func (l *leg) retry(failed ebonyworks.AttemptResult, now time.Time) {
 	l.due = time.Time{}
@@ -269,8 +284,7 @@
 	l.inFlight++
 	l.run.inFlight++
 	started := &attempt{leg: l, candidate: candidate, kind: kind, charged: charged}
-	started.sending, started.cancel = context.WithCancel(l.run.sending)
-	l.attempts = append(l.attempts, started)
+	started.waiting.deadline = l.run.latest
 	l.run.attempts = append(l.run.attempts, started)
 	go started.do()
 }
--- a/coordination/fanout/report.go
+++ b/coordination/fanout/report.go
@@ -134,7 +134,11 @@
 		if attempt.ended {
 			outcome = attempt.record.Result.String()
 		}
-		fmt.Fprintf(&text, "%s/%s %s %s %dms; ", attempt.leg.id, attempt.candidate.Server.ID, attempt.kind, outcome, attempt.latencyMs())
+		fmt.Fprintf(&text, "%s/%s %s %s %dms", attempt.leg.id, attempt.candidate.Server.ID, attempt.kind, outcome, attempt.latencyMs())
+		if attempt.ended && attempt.record.Result == ebonyworks.AttemptInvalid {
+			fmt.Fprintf(&text, " (%s)", attempt.record.Cause)
+		}
+		text.WriteString("; ")
 	}
 	return strings.TrimSuffix(text.String(), "; ")
 }
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -40,11 +40,8 @@
 	legs        []*leg
 	// ends has room for all attempts.
 	ends chan *attempt
-	// waiting ends with the run: attempts that haven't been sent are dropped.
-	waiting  context.Context
-	stopWait context.CancelFunc
-	sending  context.Context
-	stopSend context.CancelFunc
+	// latest is when attempts that haven't been sent are dropped.
+	latest   time.Time
 	attempts []*attempt
 	inFlight int
 	proven   bool
@@ -114,9 +111,7 @@
 		return r.unanswered(now)
 	}
 	defer r.leave()
-	latest := r.deadline.Add(-max(minServerTime, min(r.admission.usual, r.deadline.Sub(r.request.Arrival)/2)))
-	r.waiting, r.stopWait = context.WithDeadline(context.WithoutCancel(ctx), latest)
-	r.sending, r.stopSend = context.WithCancel(context.WithoutCancel(ctx))
+	r.latest = r.deadline.Add(-max(minServerTime, min(r.admission.usual, r.deadline.Sub(r.request.Arrival)/2)))
 	defer r.release()
 	defer r.judge()
 	r.hedgeDelay, r.mayHedge = r.forwarder.Delays.Delay(r.route.ID, r.route.TargetLatency)
@@ -222,8 +217,11 @@
 // server that pauses would otherwise work them off afterwards, while requests that
 // need its answers wait behind them.
 func (r *run) release() {
-	r.stopWait()
-	r.stopSend()
+	for _, attempt := range r.attempts {
+		if !attempt.ended {
+			attempt.abandon()
+		}
+	}
 }
 
 // drain takes the ends that are in already, so that one wake-up handles all.
--- a/coordination/guild/exchange.go
+++ b/coordination/guild/exchange.go
@@ -27,7 +27,10 @@
 	sendFactor = 3
 )
 
-var errBusy = errors.New("too many relays in progress")
+var (
+	errBusy       = errors.New("too many relays in progress")
+	errUnexpected = errors.New("unexpected error of this host")
+)
 
 // HandleExchange answers the message of another host.
 func (g *Guild) HandleExchange(_ context.Context, message ebonyworks.Exchange) (ebonyworks.Exchange, error) {
@@ -49,8 +52,27 @@
 	return err == nil, nil
 }
 
+// contained calls another host. A panic counts as no answer.
+func (g *Guild) contained(to netip.AddrPort, call func() error) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			event.RecordPanic(g.config.Recorder, "message of "+to.String(), value)
+			err = errUnexpected
+		}
+	}()
+	return call()
+}
+
 // exchange sends one message and learns from the reply.
-func (g *Guild) exchange(ctx context.Context, to netip.AddrPort, full bool) (ebonyworks.Exchange, error) {
+func (g *Guild) exchange(ctx context.Context, to netip.AddrPort, full bool) (reply ebonyworks.Exchange, err error) {
+	err = g.contained(to, func() error {
+		reply, err = g.exchangeOnce(ctx, to, full)
+		return err
+	})
+	return reply, err
+}
+
+func (g *Guild) exchangeOnce(ctx context.Context, to netip.AddrPort, full bool) (ebonyworks.Exchange, error) {
 	ctx, cancel := context.WithTimeout(ctx, directTime)
 	defer cancel()
 	message := g.compose(g.memberAt(to), false)
--- a/coordination/guild/guild_test.go
+++ b/coordination/guild/guild_test.go
@@ -26,6 +26,8 @@
 	random *rand.Rand
 	loss   float64
 	listed []ebonyworks.ListedHost
+	// panics is set while answers can't be handled.
+	panics bool
 }
 
 // port is the ebonyworks.Peer of one host. The embedded nil interface stands
@@ -40,6 +42,7 @@
 	time.Sleep(time.Millisecond)
 	p.network.mu.Lock()
 	target := p.network.guilds[to]
+	panics := p.network.panics
 	lost := p.network.closed[[2]netip.AddrPort{p.own, to}] || p.network.random.Float64() < p.network.loss
 	p.network.mu.Unlock()
 	if lost {
@@ -49,6 +52,9 @@
 	if target == nil {
 		return nil, errors.New("connection refused")
 	}
+	if panics {
+		panic("unexpected answer")
+	}
 	return target, nil
 }
 
@@ -371,3 +377,21 @@
 		assert.GreaterOrEqual(t, fewest, size*95/100)
 	})
 }
+
+// Guards against a message of another host that takes the process down.
+func TestPanicOnExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(3, 0)
+		defer p.stopAll()
+		time.Sleep(5 * time.Second)
+		p.mu.Lock()
+		p.panics = true
+		p.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		p.mu.Lock()
+		p.panics = false
+		p.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		assert.Len(t, p.guild(0).Alive(), 2)
+	})
+}
--- a/coordination/guild/probe.go
+++ b/coordination/guild/probe.go
@@ -91,7 +91,11 @@
 	answers := make(chan bool, len(vias))
 	for _, via := range vias {
 		g.tasks.Go(func() {
-			answered, err := g.config.Peer.Relay(ctx, via, target.Address)
+			var answered bool
+			err := g.contained(via, func() (err error) {
+				answered, err = g.config.Peer.Relay(ctx, via, target.Address)
+				return err
+			})
 			answers <- err == nil && answered
 		})
 	}
--- a/coordination/merging/greatest.go
+++ b/coordination/merging/greatest.go
@@ -13,7 +13,11 @@
 // limit of them. Records compare byte by byte, and equal ones all count. A
 // remainder of a part that is shorter than a record is ignored.
 func Greatest(parts [][]byte, limit int) []byte {
-	kept := make(smallestFirst, 0, limit)
+	records := 0
+	for _, part := range parts {
+		records += len(part) / RecordSize
+	}
+	kept := make(smallestFirst, 0, min(limit, records))
 	for _, part := range parts {
 		for ; len(part) >= RecordSize; part = part[RecordSize:] {
 			kept.offer(part[:RecordSize], limit)
--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -94,10 +94,20 @@
 // available, only a fresh listing helps.
 func (f *Follower) Run(ctx context.Context) {
 	for fresh := false; ctx.Err() == nil; fresh = true {
-		listing, ok := f.list(ctx, fresh)
-		if !ok {
-			return
+		f.contained(ctx, fresh)
+	}
+}
+
+// contained reads everything and follows the changes. After a panic, everything
+// is read again after a pause.
+func (f *Follower) contained(ctx context.Context, fresh bool) {
+	defer func() {
+		if value := recover(); value != nil {
+			event.RecordPanic(f.Recorder, "state of the store", value)
+			wakeup.Wait(ctx, f.applyTime()/behindPart, nil)
 		}
+	}()
+	if listing, ok := f.list(ctx, fresh); ok {
 		f.follow(ctx, listing, fresh)
 	}
 }
@@ -311,15 +321,14 @@
 // accept puts a configuration in force unless it is older than the one that
 // is. A host never goes back.
 func (f *Follower) accept(configuration *ebonyworks.ForwardConfiguration, revision ebonyworks.StoreRevision) {
-	f.mutex.Lock()
-	if f.table != nil && configuration.Revision <= f.table.Configuration().Revision {
-		f.mutex.Unlock()
+	before := f.Table()
+	if before != nil && configuration.Revision <= before.Configuration().Revision {
 		return
 	}
 	table := routing.New(configuration)
-	table.Inherit(f.table)
-	f.table = table
-	f.accepted = revision
+	table.Inherit(before)
+	f.mutex.Lock()
+	f.table, f.accepted = table, revision
 	f.mutex.Unlock()
 	f.Directory.SetServices(configuration.Services)
 	f.record(event.RoutesAccepted,
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -286,3 +287,60 @@
 		assert.Equal(t, 2, revision(follower))
 	})
 }
+
+// panicking is a store whose first answers can't be handled.
+type panicking struct {
+	ebonyworks.StoreReader
+	mutex sync.Mutex
+	left  int
+}
+
+func (p *panicking) take() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.left > 0 {
+		p.left--
+		panic("unexpected answer of the store")
+	}
+}
+
+// List may panic.
+func (p *panicking) List(ctx context.Context, fresh bool) (ebonyworks.StoreListing, error) {
+	listing, err := p.StoreReader.List(ctx, fresh)
+	p.take()
+	return listing, err
+}
+
+// Watch may panic.
+func (p *panicking) Watch(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) (ebonyworks.StoreListing, error) {
+	listing, err := p.StoreReader.Watch(ctx, after, wait)
+	p.take()
+	return listing, err
+}
+
+// Guards against one answer of the store that takes the process down, or that
+// keeps it from following the store.
+func TestPanicOnStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		broken := &panicking{StoreReader: s.Reader("host"), left: 2}
+		follower := &registry.Follower{Store: &upstream.Upstream{Store: broken}, Directory: &directory.Directory{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, 1, revision(follower))
+		broken.mutex.Lock()
+		broken.left = 1
+		broken.mutex.Unlock()
+		s.configure(2)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, 2, revision(follower))
+		cancel()
+		<-done
+	})
+}
--- a/coordination/upstream/fleet_test.go
+++ b/coordination/upstream/fleet_test.go
@@ -88,6 +88,8 @@
 	domainCut
 	// peersCut hosts reach the store only.
 	peersCut
+	// panics is the state of hosts whose reports can't be handled.
+	panics
 )
 
 func newFleet(t *testing.T, count, domains int) *fleet {
@@ -183,6 +185,12 @@
 	}
 }
 
+func (h *host) is(state hostState) bool {
+	h.fleet.mutex.Lock()
+	defer h.fleet.mutex.Unlock()
+	return h.state == state
+}
+
 func (f *fleet) isMute() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -210,7 +218,7 @@
 			if !same {
 				return -1
 			}
-		case works:
+		case works, panics:
 		}
 	}
 	if same {
@@ -229,6 +237,9 @@
 	if refused {
 		return ebonyworks.StoreReport{}, context.DeadlineExceeded
 	}
+	if other.is(panics) {
+		panic("unexpected report")
+	}
 	delay := h.fleet.delay(h, other)
 	if delay < 0 {
 		<-ctx.Done()
@@ -272,7 +283,7 @@
 func (s cutStore) reached() bool {
 	s.host.fleet.mutex.Lock()
 	defer s.host.fleet.mutex.Unlock()
-	return s.host.state == works || s.host.state == peersCut
+	return s.host.state == works || s.host.state == peersCut || s.host.state == panics
 }
 
 var errCut = &ebonyworks.StoreError{Fault: ebonyworks.StoreUnavailable, Message: "cut off"}
@@ -585,3 +596,12 @@
 	}
 	return count
 }
+
+// Guards against a report of another host that takes the process down: the next
+// host in order is followed.
+func TestPanicOnReport(t *testing.T) {
+	inFleet(t, 16, 2, func(t *testing.T, f *fleet) {
+		f.fail(panics, f.readers())
+		assert.LessOrEqual(t, f.until(f.configure(2)), applyTime)
+	})
+}
--- a/coordination/upstream/upstream.go
+++ b/coordination/upstream/upstream.go
@@ -494,7 +494,7 @@
 	asking, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	asked := time.Now()
-	report, err := u.Peers.Follow(asking, host, after, wait)
+	report, err := u.followContained(asking, host, after, wait)
 	now := time.Now()
 	report.Age += transit(now.Sub(asked), wait)
 	u.mutex.Lock()
@@ -521,6 +521,19 @@
 	return report, true
 }
 
+// followContained asks another host. A panic counts as no answer.
+func (u *Upstream) followContained(ctx context.Context, host ebonyworks.Host, after ebonyworks.StoreRevision, wait time.Duration) (report ebonyworks.StoreReport, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			event.RecordPanic(u.Recorder, "report of host "+string(host.ID), value)
+			err = errUnexpected
+		}
+	}()
+	return u.Peers.Follow(ctx, host, after, wait)
+}
+
+var errUnexpected = errors.New("unexpected error of this host")
+
 // defect tells why a report isn't used.
 func (u *Upstream) defect(report *ebonyworks.StoreReport) string {
 	switch {
--- a/forwarding.go
+++ b/forwarding.go
@@ -201,6 +201,8 @@
 	// Response is complete if Result is AttemptServed or AttemptFailed.
 	Response ServerResponse
 	Report   ServerReport
+	// Cause explains an attempt without a usable response, for the log.
+	Cause string
 }
 
 // ForwardBackend sends opaque requests to backend servers. Implementations
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,6 +175,7 @@
 		Backend:    options.Backend,
 		Inspection: g.inspector,
 		Observer:   options.Observer,
+		Recorder:   options.Recorder,
 	}
 	if options.ForwardPeer != nil {
 		g.forwarder.Delegation = &delegation.Delegator{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -25,6 +26,9 @@
 	"github.com/ebonyworks/ebonyworks/transport/courier"
 )
 
+// maxCallers is the bound of the callers' connections.
+const maxCallers = 60
+
 // site is a running gateway with servers of two shards behind it.
 type site struct {
 	host    *gateway.Gateway
@@ -108,7 +112,7 @@
 	front, ready := freeAddress(t), freeAddress(t)
 	s.address, s.ready = front.String(), ready.String()
 	server := &gateway.Server{
-		Gateway: s.host, Callers: front, Readiness: ready, Peers: peers, Grace: 6 * time.Second,
+		Gateway: s.host, Callers: front, Readiness: ready, Peers: peers, Grace: 6 * time.Second, MaxCallers: maxCallers,
 		CallerHandler:    &platform.Callers{Forwarder: s.host, Limits: s.host.Limits, Stopping: s.host.Stopping},
 		ReadinessHandler: &platform.Readiness{Ready: s.host.Ready},
 	}
@@ -261,3 +265,34 @@
 		t.Fatal("the host stopped before the delegated request ended")
 	}
 }
+
+// Guards against callers that take all descriptors of the process, so that servers
+// can't be reached.
+func TestCallersAreBounded(t *testing.T) {
+	s := newSite(t)
+	var conns []net.Conn
+	refused := 0
+	for range maxCallers + 20 {
+		conn, err := net.Dial("tcp", s.address)
+		require.NoError(t, err)
+		conns = append(conns, conn)
+		// Connections without a request end after a second.
+		time.Sleep(2 * time.Millisecond)
+	}
+	for _, conn := range conns {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Millisecond)))
+		var timeout net.Error
+		if _, err := conn.Read(make([]byte, 1)); !errors.As(err, &timeout) || !timeout.Timeout() {
+			refused++
+		}
+	}
+	assert.GreaterOrEqual(t, refused, 15)
+	assert.LessOrEqual(t, refused, 25)
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	require.Eventually(t, func() bool {
+		answer, err := s.ask(http.DefaultClient, http.MethodGet, "/all/1", nil, nil)
+		return err == nil && answer.status == http.StatusOK
+	}, 5*time.Second, 20*time.Millisecond)
+}
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -17,11 +18,24 @@
 	ForwardEnded(route ebonyworks.RouteID, kind ebonyworks.ReplyKind, missing int, elapsed time.Duration)
 }
 
+const (
+	// invalidInterval is the time between two lines on invalid responses of one
+	// server.
+	invalidInterval = time.Second
+	// maxInvalid bounds the servers whose last line is remembered.
+	maxInvalid = 1024
+)
+
 // Observer logs and counts what a gateway did. Use NewObserver.
 type Observer struct {
 	self     ebonyworks.HostID
 	recorder ebonyworks.Recorder
 	metrics  Metrics
+
+	mutex sync.Mutex
+	// invalidAt is when the last invalid response of a server was logged, with at
+	// most maxInvalid entries.
+	invalidAt map[ebonyworks.ServerID]time.Time
 }
 
 var _ fanout.Observer = (*Observer)(nil)
@@ -31,8 +45,31 @@
 	return &Observer{self: self, recorder: recorder, metrics: metrics}
 }
 
-// AttemptEnded counts an attempt.
-func (o *Observer) AttemptEnded(record ebonyworks.AttemptRecord) { o.metrics.AttemptEnded(record) }
+// AttemptEnded counts an attempt, and logs why a response can't be used.
+func (o *Observer) AttemptEnded(record ebonyworks.AttemptRecord) {
+	o.metrics.AttemptEnded(record)
+	if record.Result != ebonyworks.AttemptInvalid || !o.isInvalidDue(record.Server, time.Now()) {
+		return
+	}
+	o.recorder.Record(event.New(event.ServerReplyInvalid,
+		event.Attribute("Service", string(record.Service)),
+		event.Attribute("Server", string(record.Server)),
+		event.Attribute("Error", record.Cause)))
+}
+
+// isInvalidDue reports whether an invalid response of the server is logged.
+func (o *Observer) isInvalidDue(server ebonyworks.ServerID, now time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if now.Sub(o.invalidAt[server]) < invalidInterval {
+		return false
+	}
+	if o.invalidAt == nil || len(o.invalidAt) >= maxInvalid {
+		o.invalidAt = make(map[ebonyworks.ServerID]time.Time)
+	}
+	o.invalidAt[server] = now
+	return true
+}
 
 // Delegated logs and counts a request that another host answered.
 func (o *Observer) Delegated(report fanout.Report) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -40,6 +42,8 @@
 	Callers, Readiness, Peers, Metrics netip.AddrPort
 	// CallerHandler, ReadinessHandler and MetricsHandler answer there.
 	CallerHandler, ReadinessHandler, MetricsHandler http.Handler
+	// MaxCallers bounds the connections of callers; zero means no bound.
+	MaxCallers int
 	// Grace is the time from the end of Run's context to the kill.
 	Grace    time.Duration
 	Recorder ebonyworks.Recorder
@@ -47,6 +51,11 @@
 	// delegated serves the other hosts; nil without an address for them.
 	delegated *courier.Server
 
+	// callers counts the connections of callers, and fullAt is when the last one
+	// beyond MaxCallers was logged.
+	callers atomic.Int64
+	fullAt  time.Time
+
 	mutex   sync.Mutex
 	current *http.Server
 	limits  ebonyworks.CallerLimits
@@ -69,17 +78,17 @@
 		if err != nil {
 			return errors.Wrap(err, "listen for metrics")
 		}
-		s.serve(&http.Server{Handler: s.MetricsHandler, ReadHeaderTimeout: defaultHeaderTimeout}, metrics)
+		s.serve(newSideServer(s.MetricsHandler), metrics)
 	}
 	if s.Peers.IsValid() {
 		peers, err := net.Listen("tcp", s.Peers.String())
 		if err != nil {
 			return errors.Wrap(err, "listen for peers")
 		}
-		s.delegated = courier.NewServer(s.Gateway)
+		s.delegated = courier.NewServer(s.Gateway, courier.WithRecorder(s.Recorder))
 		go s.servePeers(peers)
 	}
-	s.serve(&http.Server{Handler: s.ReadinessHandler, ReadHeaderTimeout: defaultHeaderTimeout}, readiness)
+	s.serve(newSideServer(s.ReadinessHandler), readiness)
 	s.record(event.ProcessStarted, event.Attribute("Callers", s.Callers.String()))
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -90,6 +99,21 @@
 	return nil
 }
 
+// newSideServer returns a server for short questions without a body.
+func newSideServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadTimeout:       defaultHeaderTimeout,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		WriteTimeout:      defaultIdleTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    sideHeaderBytes,
+	}
+}
+
+// sideHeaderBytes bounds the header of such questions in bytes.
+const sideHeaderBytes = 8 << 10
+
 // accept hands each connection to the server with the limits in force.
 func (s *Server) accept(listener net.Listener) {
 	for {
@@ -102,10 +126,41 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		if s.isFull() {
+			// Nothing was read, so the caller may try another host.
+			_ = conn.Close()
+			continue
+		}
 		s.server().Handler.(*handoff).give(conn)
 	}
 }
 
+// isFull reports whether callers have as many connections as they may.
+func (s *Server) isFull() bool {
+	if s.MaxCallers <= 0 || s.callers.Load() < int64(s.MaxCallers) {
+		return false
+	}
+	if now := time.Now(); now.Sub(s.fullAt) >= fullInterval {
+		s.fullAt = now
+		s.record(event.CallersRefused, event.Attribute("Connections", strconv.Itoa(s.MaxCallers)))
+	}
+	return true
+}
+
+// fullInterval is the time between two lines on connections that are refused.
+const fullInterval = time.Second
+
+// countCallers counts the connections of callers.
+func (s *Server) countCallers(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.callers.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.callers.Add(-1)
+	default:
+	}
+}
+
 // acceptPause is the pause after a connection that couldn't be accepted.
 const acceptPause = 50 * time.Millisecond
 
@@ -133,6 +188,7 @@
 		ReadHeaderTimeout: positive(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positive(limits.IdleTimeout, defaultIdleTimeout),
 		ErrorLog:          log.New(errorLog{s}, "", 0),
+		ConnState:         s.countCallers,
 	}
 	s.serve(server, handler)
 	return server
--- a/policy.go
+++ b/policy.go
@@ -72,6 +72,14 @@
 	Release(record AttemptRecord)
 }
 
+// MemoryBudget bounds the bytes that a process holds for others.
+type MemoryBudget interface {
+	// Take holds that many more bytes, or returns false if there is no room.
+	Take(count int64) bool
+	// Return gives back bytes that were taken.
+	Return(count int64)
+}
+
 // Admission decides whether a request of a caller is taken on.
 type Admission interface {
 	// Admit returns an admittance, or a refusal with when to come back. It
--- a/transport/courier/courier_test.go
+++ b/transport/courier/courier_test.go
@@ -351,3 +351,16 @@
 	_, err = c.FetchPart(t.Context(), host.Address, ebonyworks.Digest{})
 	require.Error(t, err)
 }
+
+// Guards against one message that takes the process down, or the connection on
+// which other calls are in progress.
+func TestPanicOnCall(t *testing.T) {
+	handler := &recordingHandler{during: func() { panic("unexpected") }}
+	_, host := start(t, handler, uncut)
+	c := client(t)
+	_, delivery := c.Reserve(t.Context(), host, ebonyworks.Reservation{Ticket: "t"})
+	assert.Equal(t, ebonyworks.DeliveryUnknown, delivery)
+	answered, err := c.Relay(t.Context(), host.Address, host.Address)
+	require.NoError(t, err)
+	assert.True(t, answered)
+}
--- a/transport/courier/limits.go
+++ b/transport/courier/limits.go
@@ -15,9 +15,11 @@
 	// maxReportBytes has room for all that a gateway knows of the store: a
 	// configuration of 1 MiB, the largest value of the store, and 2,400
 	// registrations of 300 bytes, twice for another encoding.
-	maxReportBytes  = 4 << 20
-	maxLedgerBytes  = 16 << 20
-	maxForwardBytes = 16 << 20
+	maxReportBytes = 4 << 20
+	maxLedgerBytes = 16 << 20
+	// maxForwardBytes has room for the body of a delegated request, which has 1 MiB
+	// at most, and for the signatures of all shards.
+	maxForwardBytes = 4 << 20
 )
 
 // Limits on the time of one call. The context of the caller can shorten them.
--- a/transport/courier/server.go
+++ b/transport/courier/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
 	"github.com/ebonyworks/ebonyworks/protocol/dispatch"
 	peerv1 "github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1"
 	"github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1/peerv1connect"
@@ -19,8 +20,10 @@
 	headerTime     = 2 * time.Second
 	bodyTime       = 10 * time.Second
 	maxHeaderBytes = 16 << 10
-	// maxStreams bounds the concurrent calls of one peer.
+	// maxStreams bounds the concurrent calls of one peer, and maxCalls those of all
+	// peers. Hosts that follow this one wait in a call.
 	maxStreams = 256
+	maxCalls   = 2048
 )
 
 // Server serves a PeerHandler to other hosts. Use NewServer.
@@ -35,10 +38,11 @@
 	mux.Handle(peerv1connect.NewPeerServiceHandler(&service{handler: handler},
 		connect.WithInterceptors(connect.UnaryInterceptorFunc(options.traceCall), connect.UnaryInterceptorFunc(boundCall)),
 		connect.WithCompressMinBytes(compressAbove),
+		connect.WithRecover(options.recovered),
 		connect.WithConditionalHandlerOptions(sizeLimits),
 	))
 	return &Server{http: &http.Server{
-		Handler:           mux,
+		Handler:           boundCalls(mux),
 		Protocols:         unencryptedHTTP2(),
 		ReadHeaderTimeout: headerTime,
 		ReadTimeout:       bodyTime,
@@ -68,6 +72,29 @@
 // Close ends all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
 
+// recovered answers a call whose handler panicked.
+func (o options) recovered(_ context.Context, spec connect.Spec, _ http.Header, value any) error {
+	event.RecordPanic(o.recorder, "call "+spec.Procedure, value)
+	return connect.NewError(connect.CodeInternal, errUnexpected)
+}
+
+var errUnexpected = errors.New("unexpected error of this host")
+
+// boundCalls turns calls away before they are read while too many are in progress.
+func boundCalls(handler http.Handler) http.Handler {
+	calls := make(chan struct{}, maxCalls)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		select {
+		case calls <- struct{}{}:
+		default:
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() { <-calls }()
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 func sizeLimits(spec connect.Spec) []connect.HandlerOption {
 	bound := limitOf(spec.Procedure)
 	return []connect.HandlerOption{
--- a/transport/courier/trace.go
+++ b/transport/courier/trace.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1/peerv1connect"
 	"github.com/ebonyworks/ebonyworks/transport/tracecontext"
 )
@@ -18,6 +19,8 @@
 
 type options struct {
 	tracer trace.Tracer
+	// recorder may be nil.
+	recorder ebonyworks.Recorder
 }
 
 // WithTracer adds spans for forwarded reservations and queries for outcomes.
@@ -26,6 +29,11 @@
 	return func(o *options) { o.tracer = tracer }
 }
 
+// WithRecorder logs unexpected errors of a server.
+func WithRecorder(recorder ebonyworks.Recorder) Option {
+	return func(o *options) { o.recorder = recorder }
+}
+
 func newOptions(list []Option) options {
 	o := options{tracer: noop.Tracer{}}
 	for _, option := range list {
--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -13,8 +12,6 @@
 )
 
 const (
-	// MaxBody bounds the body of a response in bytes.
-	MaxBody = 32 << 20
 	// maxForeign bounds the responses to other requests that are skipped.
 	maxForeign = 2
 	// inlineBody is the largest request body, in bytes, that is written before
@@ -33,6 +30,8 @@
 	Body []byte
 	// Deadline is when the exchange fails.
 	Deadline time.Time
+	// MaxBody bounds the body of the response in bytes; zero means 32 MiB.
+	MaxBody int64
 	// Accepts reports whether the response belongs to the request; one that
 	// doesn't is skipped. Nil accepts all.
 	Accepts func(header http.Header) bool
@@ -49,9 +48,12 @@
 type RequestError struct {
 	// Unsent is set if no byte of the request left the host.
 	Unsent bool
-	// Invalid is set if the response couldn't be understood or was cut short.
+	// Invalid is set if the response couldn't be understood, was cut short after
+	// its head, or exceeds a bound.
 	Invalid bool
-	cause   error
+	// NoMemory is set if this host has no memory left for the response.
+	NoMemory bool
+	cause    error
 }
 
 // Error describes the cause.
@@ -66,9 +68,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &RequestError{Unsent: true, cause: err}
 	}
-	dialCtx, cancel := context.WithDeadline(ctx, request.Deadline)
-	conn, err := p.get(dialCtx, request.To)
-	cancel()
+	conn, err := p.get(ctx, request.To, request.Deadline)
 	if err != nil {
 		return nil, &RequestError{Unsent: true, cause: err}
 	}
@@ -93,13 +93,16 @@
 	if err != nil {
 		return nil, false, err
 	}
-	skipped := 0
+	skipped, interim := 0, 0
 	for {
-		response, framed, err := c.read(request.Method)
+		response, framed, err := c.read(request)
 		if err != nil {
 			return nil, false, err
 		}
 		if response.Status < http.StatusOK {
+			if interim++; interim > maxInterim || response.Status == http.StatusSwitchingProtocols {
+				return nil, false, &RequestError{Invalid: true, cause: errors.New("too many interim responses, or another protocol")}
+			}
 			continue
 		}
 		if request.Accepts == nil || request.Accepts(response.Header) {
@@ -141,64 +144,27 @@
 }
 
 // read reads one response, and reports whether another one may follow it.
-func (c *connection) read(method string) (*Response, bool, error) {
-	//nolint:bodyclose // readBody closes it.
-	parsed, err := http.ReadResponse(c.reader, methodOnly(method))
+func (c *connection) read(request *Request) (*Response, bool, error) {
+	parsed, err := c.readHead()
 	if err != nil {
-		return nil, false, &RequestError{Invalid: c.understoodSome(err), cause: err}
+		return nil, false, &RequestError{Invalid: isInvalid(err), cause: err}
 	}
-	body, err := readBody(parsed)
-	if err != nil {
-		return nil, false, &RequestError{Invalid: true, cause: err}
-	}
-	c.learnKeepAlive(parsed.Header)
-	framed := !parsed.Close && (parsed.ContentLength >= 0 || isChunked(parsed))
-	return &Response{Status: parsed.StatusCode, Header: parsed.Header, Body: body}, framed, nil
-}
-
-// getRequest stands for all requests whose response may have a body.
-var getRequest = &http.Request{Method: http.MethodGet}
-
-// methodOnly returns what the parser needs to know of the request.
-func methodOnly(method string) *http.Request {
-	if method == http.MethodHead {
-		return &http.Request{Method: method}
-	}
-	return getRequest
-}
-
-// understoodSome reports whether the peer sent something that is no response,
-// as opposed to nothing.
-func (c *connection) understoodSome(err error) bool {
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) {
-		return false
+	limit := request.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
 	}
-	return !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
-}
-
-func readBody(parsed *http.Response) ([]byte, error) {
-	defer func() {
-		// The connection decides on its own whether it is kept.
-		_ = parsed.Body.Close()
-	}()
-	if parsed.ContentLength > MaxBody {
-		return nil, errors.New("response body is too large")
-	}
-	if parsed.ContentLength > 0 {
-		body := make([]byte, parsed.ContentLength)
-		_, err := io.ReadFull(parsed.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
-		return nil, errors.New("response body is too large")
+	content, err := c.readBody(request.Method, &parsed, limit)
+	if err != nil {
+		return nil, false, &RequestError{Invalid: !errors.Is(err, errNoMemory), NoMemory: errors.Is(err, errNoMemory), cause: err}
 	}
-	return body, err
+	c.learnKeepAlive(parsed.header)
+	return &Response{Status: parsed.status, Header: parsed.header, Body: content}, !parsed.closes, nil
 }
 
-func isChunked(parsed *http.Response) bool {
-	return len(parsed.TransferEncoding) > 0 && parsed.TransferEncoding[0] == "chunked"
+// isInvalid reports whether the peer sent something that is no head of a
+// response, as opposed to nothing.
+func isInvalid(err error) bool {
+	return errors.Is(err, errMalformed) || errors.Is(err, errHeadTooLarge)
 }
 
 // learnKeepAlive takes the idle timeout that the peer states in whole seconds.
--- /dev/null
+++ b/transport/exchange/exchange_test.go
@@ -0,0 +1,307 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonyworks/ebonyworks/state/memory"
+	"github.com/ebonyworks/ebonyworks/transport/exchange"
+)
+
+// serve answers each request on each connection with what answer writes.
+func serve(t *testing.T, answer func(conn net.Conn, writer *bufio.Writer)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				writer := bufio.NewWriterSize(conn, 64<<10)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					answer(conn, writer)
+					if writer.Flush() != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func get(pool *exchange.Pool, address netip.AddrPort, maxBody int64) (*exchange.Response, error) {
+	return pool.Do(context.Background(), &exchange.Request{
+		To: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+		Deadline: time.Now().Add(8 * time.Second), MaxBody: maxBody,
+	})
+}
+
+// endless repeats the text until the connection ends.
+func endless(first, repeated string) func(net.Conn, *bufio.Writer) {
+	return func(_ net.Conn, writer *bufio.Writer) {
+		if _, err := writer.WriteString(first); err != nil {
+			return
+		}
+		for {
+			if _, err := writer.WriteString(repeated); err != nil {
+				return
+			}
+		}
+	}
+}
+
+const plainHead = "HTTP/1.1 200 OK\r\n"
+
+// hostile are responses that don't end, or that take up memory.
+var hostile = map[string]func(net.Conn, *bufio.Writer){
+	"status line without end":         endless("HTTP/1.1 200 ", "a"),
+	"bytes that are no response":      endless("", "\x00\xff"),
+	"empty lines":                     endless("", "\r\n"),
+	"header line without end":         endless(plainHead+"A: ", "b"),
+	"header name without end":         endless(plainHead, "a"),
+	"header lines without end":        endless(plainHead, "A: b\r\n"),
+	"different header lines":          endless(plainHead, "A:\r\n"),
+	"interim responses without end":   endless("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+	"body without end, by length":     endless(plainHead+"Content-Length: 9223372036854775807\r\n\r\n", "abcdefghij"),
+	"body without end, by close":      endless(plainHead+"\r\n", "abcdefghij"),
+	"chunks without end":              endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "a\r\nabcdefghij\r\n"),
+	"tiny chunks without end":         endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+	"chunk size without end":          endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "0"),
+	"chunk extensions without end":    endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n1;", "ext;"),
+	"an extension with each chunk":    endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "1;extension=value\r\na\r\n"),
+	"trailer without end":             endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+	"trailer line without end":        endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", "b"),
+	"huge chunk":                      endless(plainHead+"Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", "abcdefghij"),
+	"another protocol, without end":   endless("HTTP/1.1 101 Switching Protocols\r\n\r\n", "abcdefghij"),
+	"a body behind a header-only end": endless("HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", "abcdefghij"),
+}
+
+// Guards against servers whose bytes have no end: they fill the memory of the
+// host, and keep an attempt busy until its deadline.
+func TestEndlessResponsesFailAtOnce(t *testing.T) {
+	for name, answer := range hostile {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, answer)
+			begin := time.Now()
+			response, err := get(&exchange.Pool{}, address, 1<<20)
+			assert.Less(t, time.Since(begin), 3*time.Second)
+			if strings.HasPrefix(name, "a body behind") {
+				// What follows the response belongs to no request.
+				require.NoError(t, err)
+				assert.Empty(t, response.Body)
+				return
+			}
+			var failure *exchange.RequestError
+			require.True(t, errors.As(err, &failure))
+			assert.False(t, failure.Unsent)
+			assert.True(t, failure.Invalid, err)
+		})
+	}
+}
+
+// Guards against a fan-out to many such servers that takes up more memory than a
+// host has: 40 exchanges reached a heap of 2 GB within a second.
+func TestEndlessResponsesTakeLittleMemory(t *testing.T) {
+	var addresses []netip.AddrPort
+	for _, answer := range hostile {
+		addresses = append(addresses, serve(t, answer), serve(t, answer))
+	}
+	pool := &exchange.Pool{Budget: &memory.Budget{Limit: 8 << 20}}
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	stop, peak := make(chan struct{}), make(chan uint64, 1)
+	go func() {
+		var highest uint64
+		for {
+			select {
+			case <-stop:
+				peak <- highest
+				return
+			case <-time.After(5 * time.Millisecond):
+				runtime.ReadMemStats(&during)
+				highest = max(highest, during.HeapAlloc)
+			}
+		}
+	}()
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() { _, _ = get(pool, address, 0) })
+	}
+	calls.Wait()
+	close(stop)
+	// The test's own servers hold about 10 MB of buffers.
+	assert.Less(t, <-peak, before.HeapAlloc+64<<20)
+}
+
+// Guards against a server that sends one byte at a time, which must not outlast
+// the deadline.
+func TestTricklingServer(t *testing.T) {
+	address := serve(t, func(conn net.Conn, _ *bufio.Writer) {
+		for _, char := range []byte(plainHead + strings.Repeat("A: b\r\n", 1000)) {
+			if _, err := conn.Write([]byte{char}); err != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	pool := &exchange.Pool{}
+	begin := time.Now()
+	_, err := pool.Do(t.Context(), &exchange.Request{To: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Deadline: begin.Add(300 * time.Millisecond)})
+	require.Error(t, err)
+	assert.Less(t, time.Since(begin), time.Second)
+}
+
+// Guards against bounds that honest servers reach: a large body, in each framing.
+func TestLargeHonestResponsesPass(t *testing.T) {
+	content := strings.Repeat("0123456789abcdef", 1<<20)
+	for name, answer := range map[string]func(net.Conn, *bufio.Writer){
+		"by length": func(_ net.Conn, writer *bufio.Writer) {
+			_, _ = fmt.Fprintf(writer, "%sContent-Length: %d\r\n\r\n%s", plainHead, len(content), content)
+		},
+		"by chunks": func(_ net.Conn, writer *bufio.Writer) {
+			_, _ = writer.WriteString(plainHead + "Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n")
+			for rest := content; rest != ""; rest = rest[32<<10:] {
+				_, _ = fmt.Fprintf(writer, "%x;a=b\r\n%s\r\n", 32<<10, rest[:32<<10])
+			}
+			_, _ = writer.WriteString("0\r\nA: b\r\n\r\n")
+		},
+		"by close": func(conn net.Conn, writer *bufio.Writer) {
+			_, _ = writer.WriteString(plainHead + "\r\n" + content)
+			_ = writer.Flush()
+			_ = conn.(*net.TCPConn).CloseWrite()
+		},
+		"after interim responses": func(_ net.Conn, writer *bufio.Writer) {
+			_, _ = fmt.Fprintf(writer, "%s%sContent-Length: %d\r\n\r\n%s", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 4), plainHead, len(content), content)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := &exchange.Pool{Budget: &memory.Budget{Limit: 64 << 20}}
+			address := serve(t, answer)
+			for range 2 {
+				response, err := get(pool, address, 0)
+				require.NoError(t, err)
+				assert.Equal(t, content, string(response.Body))
+			}
+		})
+	}
+}
+
+// Guards against a budget that is used up by responses that have ended, and
+// against failures that are blamed on the server when the host has no memory left.
+func TestBudget(t *testing.T) {
+	address := serve(t, func(_ net.Conn, writer *bufio.Writer) {
+		_, _ = fmt.Fprintf(writer, "%sContent-Length: %d\r\n\r\n%s", plainHead, 1<<20, strings.Repeat("a", 1<<20))
+	})
+	budget := &memory.Budget{Limit: 3 << 20}
+	pool := &exchange.Pool{Budget: budget}
+	for range 10 {
+		_, err := get(pool, address, 0)
+		require.NoError(t, err)
+	}
+	assert.Zero(t, budget.Held())
+	require.True(t, budget.Take(5<<19))
+	_, err := get(pool, address, 0)
+	var failure *exchange.RequestError
+	require.True(t, errors.As(err, &failure))
+	assert.True(t, failure.NoMemory)
+	assert.False(t, failure.Invalid)
+}
+
+// Guards against responses that are cut short and taken for complete, and against
+// ones that two readers understand differently.
+func TestBrokenResponses(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent    string
+		invalid bool
+	}{
+		"nothing":                     {"", false},
+		"half a status line":          {"HTTP/1.1 20", false},
+		"half a header":               {plainHead + "A: b", false},
+		"half a body by length":       {plainHead + "Content-Length: 10\r\n\r\nabc", true},
+		"half a chunk":                {plainHead + "Transfer-Encoding: chunked\r\n\r\na\r\nabc", true},
+		"chunks without the last one": {plainHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", true},
+		"last chunk without its end":  {plainHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", true},
+		"half a trailer":              {plainHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n", true},
+		"chunk of another size":       {plainHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", true},
+		"negative chunk size":         {plainHead + "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n", true},
+		"two lengths":                 {plainHead + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", true},
+		"list of lengths":             {plainHead + "Content-Length: 3, 4\r\n\r\nabcd", true},
+		"negative length":             {plainHead + "Content-Length: -1\r\n\r\n", true},
+		"signed length":               {plainHead + "Content-Length: +3\r\n\r\nabc", true},
+		"other transfer coding":       {plainHead + "Transfer-Encoding: gzip, chunked\r\n\r\n", true},
+		"two transfer codings":        {plainHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", true},
+		"continuation line":           {plainHead + "A: b\r\n c\r\nContent-Length: 0\r\n\r\n", true},
+		"space before the colon":      {plainHead + "Content-Length : 3\r\n\r\nabc", true},
+		"line without colon":          {plainHead + "abc\r\n\r\n", true},
+		"another version":             {"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+		"another protocol":            {"SSH-2.0-server\r\n\r\n", true},
+		"status of two digits":        {"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n", true},
+		"empty line first":            {"\r\n" + plainHead + "Content-Length: 0\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(conn net.Conn, writer *bufio.Writer) {
+				_, _ = writer.WriteString(test.sent)
+				_ = writer.Flush()
+				_ = conn.Close()
+			})
+			_, err := get(&exchange.Pool{}, address, 0)
+			var failure *exchange.RequestError
+			require.True(t, errors.As(err, &failure), "taken for complete")
+			assert.Equal(t, test.invalid, failure.Invalid, err)
+		})
+	}
+}
+
+// Guards against a reset that is taken for bytes that are no response: whether a
+// request crashes servers is learned from connections that end.
+func TestResetIsNoInvalidResponse(t *testing.T) {
+	for _, sent := range []string{"", plainHead + "Content-Le"} {
+		address := serve(t, func(conn net.Conn, writer *bufio.Writer) {
+			_, _ = writer.WriteString(sent)
+			_ = writer.Flush()
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		})
+		_, err := get(&exchange.Pool{}, address, 0)
+		var failure *exchange.RequestError
+		require.True(t, errors.As(err, &failure))
+		assert.False(t, failure.Invalid, err)
+	}
+	// A body that ends with its connection isn't complete after a reset.
+	address := serve(t, func(conn net.Conn, writer *bufio.Writer) {
+		_, _ = writer.WriteString(plainHead + "\r\nabc")
+		_ = writer.Flush()
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	_, err := get(&exchange.Pool{}, address, 0)
+	assert.Error(t, err)
+	assert.NotErrorIs(t, err, io.EOF)
+}
--- /dev/null
+++ b/transport/exchange/head.go
@@ -0,0 +1,140 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// MaxHead bounds the status line and the header of a response, and each
+	// trailer, in bytes.
+	MaxHead = 64 << 10
+	// MaxLines bounds the lines of a head: each header takes far more memory than
+	// its bytes.
+	MaxLines = 256
+	// maxInterim bounds the interim responses before the final one.
+	maxInterim = 8
+)
+
+var (
+	errHeadTooLarge = errors.New("response head is too large")
+	errMalformed    = errors.New("malformed response")
+)
+
+// head is the parsed status line and header of a response.
+type head struct {
+	status int
+	header http.Header
+	// closes is set if the connection ends with the response.
+	closes bool
+	// old is set for HTTP/1.0, which has no transfer codings.
+	old bool
+}
+
+// readHead reads the status line and the header.
+func (c *connection) readHead() (head, error) {
+	raw, err := c.readLines()
+	if err != nil {
+		return head{}, err
+	}
+	return parseHead(raw)
+}
+
+// readLines reads up to an empty line and returns all before it.
+func (c *connection) readLines() (string, error) {
+	c.lines = c.lines[:0]
+	begin, count := 0, 0
+	for {
+		piece, err := c.reader.ReadSlice('\n')
+		c.lines = append(c.lines, piece...)
+		if len(c.lines) > MaxHead || count > MaxLines {
+			c.lines = nil
+			return "", errHeadTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		if len(bytes.TrimRight(c.lines[begin:], "\r\n")) == 0 {
+			return string(c.lines[:begin]), nil
+		}
+		begin = len(c.lines)
+		count++
+	}
+}
+
+// parseHead parses the lines of a head.
+func parseHead(raw string) (head, error) {
+	first, rest, _ := strings.Cut(raw, "\n")
+	parsed := head{}
+	version, after, _ := strings.Cut(strings.TrimRight(first, "\r"), " ")
+	code, _, _ := strings.Cut(after, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 100 || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return head{}, errors.Wrap(errMalformed, "status line")
+	}
+	parsed.status = status
+	parsed.header, err = parseFields(rest)
+	if err != nil {
+		return head{}, err
+	}
+	parsed.old = version == "HTTP/1.0"
+	parsed.closes = parsed.old || hasToken(parsed.header["Connection"], "close")
+	return parsed, nil
+}
+
+// parseFields parses header lines. Continuation lines are obsolete and refused.
+func parseFields(raw string) (http.Header, error) {
+	count := strings.Count(raw, "\n")
+	header := make(http.Header, count)
+	// One array holds the values; fields that repeat get one of their own.
+	values := make([]string, 0, count)
+	for len(raw) > 0 {
+		var line string
+		line, raw, _ = strings.Cut(raw, "\n")
+		name, value, found := strings.Cut(strings.TrimRight(line, "\r"), ":")
+		if !found || !isToken(name) {
+			return nil, errors.Wrap(errMalformed, "header line")
+		}
+		key := textproto.CanonicalMIMEHeaderKey(name)
+		value = textproto.TrimString(value)
+		if known := header[key]; known != nil {
+			header[key] = append(known, value)
+			continue
+		}
+		values = append(values, value)
+		header[key] = values[len(values)-1 : len(values) : len(values)]
+	}
+	return header, nil
+}
+
+// isToken reports whether the name of a field is one by RFC 9110.
+func isToken(name string) bool {
+	const others = "!#$%&'*+-.^_`|~"
+	for _, char := range []byte(name) {
+		isAlphanumeric := char >= '0' && char <= '9' || char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z'
+		if !isAlphanumeric && strings.IndexByte(others, char) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func hasToken(values []string, token string) bool {
+	for _, value := range values {
+		for _, field := range strings.Split(value, ",") {
+			if strings.EqualFold(textproto.TrimString(field), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks"
 )
 
 const (
@@ -37,6 +39,10 @@
 // Pool keeps connections to servers. It is safe for concurrent use. The zero
 // value is usable.
 type Pool struct {
+	// Budget bounds the bytes of responses that are read at a time; nil means no
+	// bound. It isn't changed after the first use.
+	Budget ebonyworks.MemoryBudget
+
 	mutex sync.Mutex
 	// idle holds the kept connections, the last used one last.
 	idle map[netip.AddrPort][]*connection
@@ -48,6 +54,10 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// budget may be nil.
+	budget ebonyworks.MemoryBudget
+	// lines is scratch space for heads, at most MaxHead bytes.
+	lines []byte
 	// keepFor is how long the peer keeps the connection when it is idle.
 	keepFor time.Duration
 	// idleSince is when the last exchange ended.
@@ -90,11 +100,11 @@
 }
 
 // get returns a kept connection that is sound, or opens one.
-func (p *Pool) get(ctx context.Context, address netip.AddrPort) (*connection, error) {
+func (p *Pool) get(ctx context.Context, address netip.AddrPort, deadline time.Time) (*connection, error) {
 	for {
 		conn := p.takeIdle(address)
 		if conn == nil {
-			return p.open(ctx, address)
+			return p.open(ctx, address, deadline)
 		}
 		if !conn.expired(time.Now()) && conn.quiet() {
 			return conn, nil
@@ -116,7 +126,9 @@
 	return conn
 }
 
-func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*connection, error) {
+func (p *Pool) open(ctx context.Context, address netip.AddrPort, deadline time.Time) (*connection, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	dialer := net.Dialer{
 		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -133,7 +145,7 @@
 	p.mutex.Lock()
 	p.opened++
 	p.mutex.Unlock()
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), keepFor: defaultIdle}, nil
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), keepFor: defaultIdle, budget: p.Budget}, nil
 }
 
 // put keeps a connection after a complete exchange.
