Take shares of what the fleet may use only once the hosts are counted

Cause: while no peer was known, a host took the fleet for 96 hosts, and from the first peer on for as many as it knew. When all of 295 hosts start together, the sum of their parts of the repeats and connections was three times too large, and much more while they met. Now 512 are assumed until the number hasn't grown for 0.45 s. A server that was used before kept the share of that time for ever; it follows the number of hosts now (TestShareFollowsNumberOfHosts).

TestSharesOfAllHosts adds up the parts of all hosts: started together, a domain cut for 27 s with a third of the hosts lost, one host in ten unseen, half of them restarted. Not covered: hosts that are cut from each other from their start on; they can't know of the others.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -55,7 +55,8 @@
 }
 
 // SetHosts changes the number of hosts. It sets the start of servers that
-// have not been used; the others have adapted by themselves.
+// have not been used; the others have adapted by themselves, up to the largest
+// limit for that number.
 func (t *Table) SetHosts(hosts int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -191,11 +192,11 @@
 }
 
 // setBounds follows a configuration that changes the slots or the connections
-// of the service.
+// of the service, and the number of hosts.
 func (s *server) setBounds(service *ebonyworks.Service, start, largest float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.slots == service.Slots && s.cap == service.ConnectionCap {
+	if s.slots == service.Slots && s.cap == service.ConnectionCap && s.limit.Max == largest {
 		return
 	}
 	s.slots = service.Slots
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -200,3 +200,31 @@
 	assert.Zero(t, inFlight)
 	held[0].Release(served(time.Millisecond))
 }
+
+// Guards against a share that stays what it was when the server was first used: a
+// host that has just started takes the fleet for large.
+func TestShareFollowsNumberOfHosts(t *testing.T) {
+	service := &ebonyworks.Service{ID: "s", Slots: 4, ConnectionCap: 40}
+	table := quota.NewExclusive(512)
+	use := func() int {
+		permit, ok := table.Acquire(t.Context(), service, "a")
+		require.True(t, ok)
+		permit.Release(ebonyworks.AttemptRecord{Result: ebonyworks.AttemptServed, Latency: time.Millisecond})
+		_, limit := table.Load(service, "a")
+		return limit
+	}
+	assert.Equal(t, 1, use())
+	table.SetHosts(8)
+	for range 200 {
+		use()
+	}
+	held := 0
+	for range 8 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		if _, ok := table.Acquire(ctx, service, "a"); ok {
+			held++
+		}
+		cancel()
+	}
+	assert.Greater(t, held, 1)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// assumedHosts is the number of hosts that share connections and repeats
-	// while no other host is known.
-	assumedHosts = 96
+	// assumedHosts is the number of hosts that share connections and repeats while
+	// this one doesn't know how many there are. It is above the 400 of the design
+	// size: all of them may start together.
+	assumedHosts = 512
+	// settleTime is how long after its start a host has to know no more others than
+	// before to trust their number. Hosts that start together meet one after the
+	// other, and each would take shares of those that it knows.
+	settleTime = 450 * time.Millisecond
 	// spareFactor leaves connections for hosts that haven't been heard of yet.
 	spareFactor = 1.25
 	// shrinkTime is how long a larger fleet is remembered. Hosts that were lost
@@ -29,6 +34,10 @@
 	// largest was counted at largestAt, by the goroutine of learn.
 	largest   int
 	largestAt time.Time
+	// settled is set once the number of hosts hasn't grown for settleTime, since
+	// grownAt. It isn't cleared.
+	settled bool
+	grownAt time.Time
 }
 
 // Hosts returns the estimate.
@@ -45,11 +54,19 @@
 	if known <= 1 && !f.alone && f.largest == 0 {
 		return false
 	}
+	if known > f.largest {
+		f.grownAt = now
+	}
 	if known >= f.largest || now.Sub(f.largestAt) > shrinkTime {
 		f.largest = known
 		f.largestAt = now
 	}
-	return f.hosts.Swap(int64(f.largest)) != int64(f.largest)
+	f.settled = f.settled || f.alone || now.Sub(f.grownAt) >= settleTime
+	hosts := f.largest
+	if !f.settled {
+		hosts = max(hosts, assumedHosts)
+	}
+	return f.hosts.Swap(int64(hosts)) != int64(hosts)
 }
 
 // WithSpares returns the estimate with room for hosts that start.
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+)
+
+// observers are the hosts of a fleet with what each of them believes.
+type observers struct {
+	hosts  []ebonyworks.Host
+	fleets []fleet
+}
+
+func newObservers(small, large int) *observers {
+	o := &observers{}
+	for i := range small + large {
+		host := ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprint(i)), Domain: ebonyworks.DomainID(fmt.Sprint(i % 6)), Capacity: 0.2}
+		if i < large {
+			host.Capacity = 0.8
+		}
+		o.hosts = append(o.hosts, host)
+	}
+	o.fleets = make([]fleet, len(o.hosts))
+	return o
+}
+
+// see lets the host count those that it can see.
+func (o *observers) see(i int, now time.Time, visible func(j int) bool) {
+	var others []ebonyworks.Host
+	for j, host := range o.hosts {
+		if j != i && visible(j) {
+			others = append(others, host)
+		}
+	}
+	o.fleets[i].learn(sharers(o.hosts[i], others), now)
+}
+
+// shares returns the sum of all hosts' parts of what the fleet may use.
+func (o *observers) shares() float64 {
+	var sum float64
+	for i := range o.fleets {
+		sum += 1 / float64(o.fleets[i].Hosts())
+	}
+	return sum
+}
+
+const lookInterval = 150 * time.Millisecond
+
+// Guards against hosts whose parts of the repeats and connections together are
+// more than the fleet may use: since they start together and meet one after the
+// other, are lost or cut off for a while, or disagree on their number.
+func TestSharesOfAllHosts(t *testing.T) {
+	for _, size := range []struct{ small, large int }{{8, 0}, {51, 16}, {277, 18}} {
+		t.Run(fmt.Sprint(size.small+size.large), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			o := newObservers(size.small, size.large)
+			now := time.Now()
+			interval := lookInterval
+			look := func(visible func(i, j int) bool) {
+				now = now.Add(interval)
+				for i := range o.hosts {
+					o.see(i, now, func(j int) bool { return visible(i, j) })
+				}
+			}
+			assert.LessOrEqual(t, o.shares(), 1.0, "nobody is known")
+			met := make([]time.Duration, len(o.hosts))
+			for i := range met {
+				met[i] = time.Duration(random.Int64N(int64(2 * time.Second)))
+			}
+			for step := range 20 {
+				age := time.Duration(step) * lookInterval
+				look(func(_, j int) bool { return met[j] <= age })
+				assert.LessOrEqual(t, o.shares(), 1.0, "%s after the start", age)
+			}
+			everybody := func(int, int) bool { return true }
+			look(everybody)
+			assert.InDelta(t, 1, o.shares(), 0.05, "all are known, and nothing is left unused")
+			interval = time.Second
+			for range 27 {
+				// One domain is cut off for 27 s, and a third of the hosts is lost.
+				look(func(i, j int) bool { return i%6 == j%6 || i%6 != 1 && j%6 != 1 && j%3 != 0 })
+			}
+			assert.LessOrEqual(t, o.shares(), 1.05, "hosts are cut off")
+			look(everybody)
+			for range 10 {
+				look(func(i, j int) bool { return (i+j)%10 != 0 })
+			}
+			assert.LessOrEqual(t, o.shares(), 1.05, "each host misses others")
+			all := o.fleets
+			o.fleets = make([]fleet, len(o.hosts))
+			for i := range all {
+				if i%2 == 0 {
+					o.fleets[i].hosts.Store(all[i].hosts.Load())
+					o.fleets[i].largest, o.fleets[i].largestAt, o.fleets[i].settled = all[i].largest, all[i].largestAt, true
+				}
+			}
+			assert.LessOrEqual(t, o.shares(), 1.05, "half of the hosts have just started")
+		})
+	}
+}
+
+// Guards against a host that never trusts what it knows, and uses a small part of
+// its share.
+func TestHostSettles(t *testing.T) {
+	var f fleet
+	now := time.Now()
+	assert.False(t, f.learn(1, now), "alone, although others are meant to be found")
+	for range 5 {
+		now = now.Add(lookInterval)
+		f.learn(8, now)
+	}
+	assert.Equal(t, 8, f.Hosts())
+	f.learn(9, now)
+	assert.Equal(t, 9, f.Hosts(), "a host that joins later")
+	var only fleet
+	only.alone = true
+	only.learn(1, now)
+	assert.Equal(t, 1, only.Hosts())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,8 +33,10 @@
 
 const (
 	// tidyInterval is the time between two looks at kept connections and at
-	// servers whose entries didn't come back.
-	tidyInterval = 500 * time.Millisecond
+	// servers whose entries didn't come back, and countInterval that between two
+	// counts of the hosts.
+	tidyInterval  = 500 * time.Millisecond
+	countInterval = 150 * time.Millisecond
 	// farFactor lets a far server have an attempt only if the near one has at
 	// least two in flight or is that much slower.
 	farFactor = 2.5
@@ -205,15 +207,18 @@
 		loops.Go(func() { loop(ctx) })
 	}
 	g.learnFleet()
-	ticker := time.NewTicker(tidyInterval)
-	defer ticker.Stop()
+	count := time.NewTicker(countInterval)
+	defer count.Stop()
+	tidy := time.NewTicker(tidyInterval)
+	defer tidy.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			loops.Wait()
 			return
-		case <-ticker.C:
+		case <-count.C:
 			g.learnFleet()
+		case <-tidy.C:
 			g.follower.Expire()
 			g.retainConnections()
 		}
