Pause all of a host in the guild's test of pauses

Cause: the test's model of a pause. It held the beat alone, while the host's other loops went on. Since a host that was refreshed asks members again, these notice the missing beats at more moments, and the host is refreshed by the platform's list. When that came within the last second of the three, the host was ready in the middle of its pause. A paused process runs none of its loops, so this can't happen outside the test.

Ruled out: a host that counts as refreshed after a real pause without asking.

--- a/coordination/guild/guild_test.go
+++ b/coordination/guild/guild_test.go
@@ -28,6 +28,33 @@
 	listed []ebonyworks.ListedHost
 	// panics is set while answers can't be handled.
 	panics bool
+	// paused holds a channel for each host that is paused, closed once it goes on.
+	paused map[netip.AddrPort]chan struct{}
+}
+
+// pause holds all that the host at the address sends, reads or waits for until
+// it is resumed.
+func (n *network) pause(address netip.AddrPort) (resume func()) {
+	resumed := make(chan struct{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[address] = resumed
+	return func() {
+		n.mu.Lock()
+		delete(n.paused, address)
+		n.mu.Unlock()
+		close(resumed)
+	}
+}
+
+// await returns once the host at the address isn't paused.
+func (n *network) await(address netip.AddrPort) {
+	n.mu.Lock()
+	resumed := n.paused[address]
+	n.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
 }
 
 // port is the ebonyworks.Peer of one host. The embedded nil interface stands
@@ -39,6 +66,8 @@
 }
 
 func (p port) reach(ctx context.Context, to netip.AddrPort) (*guild.Guild, error) {
+	defer p.network.await(p.own)
+	p.network.await(p.own)
 	time.Sleep(time.Millisecond)
 	p.network.mu.Lock()
 	target := p.network.guilds[to]
@@ -77,9 +106,11 @@
 type list struct {
 	ebonyworks.Platform
 	network *network
+	own     netip.AddrPort
 }
 
 func (l list) Hosts(context.Context) ([]ebonyworks.ListedHost, error) {
+	l.network.await(l.own)
 	if l.network.listed == nil {
 		return nil, errors.New("unavailable")
 	}
@@ -102,21 +133,24 @@
 		random: rand.New(rand.NewPCG(1, 9)),
 		loss:   loss,
 		listed: []ebonyworks.ListedHost{},
+		paused: map[netip.AddrPort]chan struct{}{},
 	}}
 	for i := range size {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7443)
 		host := ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprintf("entry-%02d", i)), Incarnation: 1, Address: address}
 		p.hosts = append(p.hosts, host)
 		p.stops = append(p.stops, nil)
-		p.start(i, nil)
+		p.start(i)
 	}
 	return p
 }
 
-func (p *party) start(i int, beat func()) {
+func (p *party) start(i int) {
+	address := p.hosts[i].Address
 	g := guild.New(guild.Config{
-		Self: p.hosts[i], Renews: p.renews, Seeds: []netip.AddrPort{p.hosts[0].Address}, Peer: port{network: p.network, own: p.hosts[i].Address},
-		Platform: list{network: p.network}, Random: rand.New(rand.NewPCG(uint64(i), 1)), Beat: beat,
+		Self: p.hosts[i], Renews: p.renews, Seeds: []netip.AddrPort{p.hosts[0].Address}, Peer: port{network: p.network, own: address},
+		Platform: list{network: p.network, own: address}, Random: rand.New(rand.NewPCG(uint64(i), 1)),
+		Beat: func() { p.await(address) },
 	})
 	p.mu.Lock()
 	p.guilds[p.hosts[i].Address] = g
@@ -187,7 +221,7 @@
 		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberDead: 11}, p.states(3))
 		assert.Equal(t, []netip.AddrPort{p.hosts[3].Address}, p.guild(0).View().Unanswered)
 		p.hosts[3].Incarnation++
-		p.start(3, nil)
+		p.start(3)
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberAlive: 11}, p.states(3))
 
@@ -196,7 +230,7 @@
 		p.stops[5]()
 		time.Sleep(500 * time.Millisecond)
 		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberLeft: 11}, p.states(5))
-		p.start(5, nil)
+		p.start(5)
 	})
 }
 
@@ -248,27 +282,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newParty(3, 0)
 		defer p.stopAll()
-		p.stops[2]()
-		pause := make(chan chan struct{}, 1)
-		p.start(2, func() {
-			select {
-			case resumed := <-pause:
-				<-resumed
-			default:
-			}
-		})
 		time.Sleep(5 * time.Second)
 		g := p.guild(2)
 		require.True(t, g.Readiness().Ready())
-		resumed := make(chan struct{})
-		pause <- resumed
+		resume := p.pause(p.hosts[2].Address)
 		p.cut(0, 2, true)
 		p.cut(1, 2, true)
 		time.Sleep(3 * time.Second)
 		p.cut(0, 2, false)
 		p.cut(1, 2, false)
 		assert.False(t, g.Readiness().Ready(), "paused for 3 s")
-		close(resumed)
+		resume()
 		time.Sleep(time.Second)
 		assert.True(t, g.Readiness().Ready(), g.Readiness().Reasons)
 
@@ -289,11 +313,11 @@
 		p.renews = true
 		p.stops[2]()
 		p.hosts[2].Incarnation = 2_000
-		p.start(2, nil)
+		p.start(2)
 		time.Sleep(5 * time.Second)
 		p.stops[2]()
 		p.hosts[2].Incarnation = 1_000
-		p.start(2, nil)
+		p.start(2)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, map[ebonyworks.MemberState]int{ebonyworks.MemberAlive: 2}, p.states(2))
 		assert.Greater(t, p.guild(2).Self().Host.Incarnation, ebonyworks.Incarnation(2_000))
@@ -318,7 +342,7 @@
 		assert.True(t, p.guild(0).Readiness().Ready())
 		p.stops[0]()
 		p.listed = nil
-		p.start(0, nil)
+		p.start(0)
 		time.Sleep(time.Minute)
 		assert.False(t, p.guild(0).Readiness().Ready())
 	})
@@ -366,7 +390,7 @@
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7443)
 			p.hosts = append(p.hosts, ebonyworks.Host{ID: ebonyworks.HostID(fmt.Sprintf("entry-%03d", i)), Incarnation: 1, Address: address})
 			p.stops = append(p.stops, nil)
-			p.start(i, nil)
+			p.start(i)
 			time.Sleep(300 * time.Millisecond / size)
 		}
 		time.Sleep(2700 * time.Millisecond)
