Answer each request that was sent before a planned stop ends

Operators told of requests that a planned stop under load cut off right after they had been accepted. It could happen here, in each stop under load.

Cause, three ways: (1) closing a listening socket resets the connections that the kernel has completed and the process hasn't accepted; (2) a connection that was accepted while its server shut down was closed unread; (3) http.Server.Shutdown returns without an answer from each request that it reads from then on, and doesn't wait for connections that it hasn't noted.

The listener now accepts until the kernel has none for 20 ms, takes the last connections in the system call before the one that closes the socket, and servers are shut down only once no request is on its way. The entry host of the other binary does the same.

Ruled out: the bound of connections (30 callers, 60 allowed, none refused); a filter on the socket that drops the first packets of new connections: not supported everywhere, and callers would wait a second.

Not covered: a request that crosses the closing of a connection that was idle for 2.3 s and more after the host was announced as not ready.

--- a/daemon/process.go
+++ b/daemon/process.go
@@ -25,9 +25,11 @@
 	"github.com/ebonyworks/ebonyworks/recording"
 	"github.com/ebonyworks/ebonyworks/settings"
 	"github.com/ebonyworks/ebonyworks/telemetry"
+	"github.com/ebonyworks/ebonyworks/transport/connections"
 	"github.com/ebonyworks/ebonyworks/transport/counter"
 	"github.com/ebonyworks/ebonyworks/transport/courier"
 	"github.com/ebonyworks/ebonyworks/transport/noticeboard"
+	"github.com/ebonyworks/ebonyworks/transport/reception"
 	"github.com/ebonyworks/ebonyworks/transport/stockroom"
 )
 
@@ -61,7 +63,10 @@
 	peers     *courier.Client
 	host      *entry.Host
 	// listeners are open from listen until the end of the run.
-	callers, members, admin net.Listener
+	callers        *reception.Listener
+	members, admin net.Listener
+	// connections are those of callers.
+	connections connections.Connections
 	// closers are closed last, in reverse order.
 	closers []io.Closer
 }
@@ -114,6 +119,10 @@
 	p.host.BeginStop()
 	wait(ctx, balancerTime)
 	var failures []error
+	if err := p.callers.Drain(ctx); err != nil {
+		failures = append(failures, errors.Wrap(err, "stop listening for callers"))
+	}
+	p.connections.WaitQuiet(ctx)
 	if err := callers.Shutdown(ctx); err != nil {
 		failures = append(failures, errors.Wrap(err, "stop serving callers"))
 	}
@@ -263,6 +272,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         p.connections.Change,
 	}
 }
 
@@ -289,8 +299,10 @@
 // listen opens the listeners that aren't open yet.
 func (p *process) listen() error {
 	var err error
-	if p.callers, err = listen(p.callers, p.settings.Callers); err != nil {
-		return errors.Wrap(err, "listen for callers")
+	if p.callers == nil {
+		if p.callers, err = reception.Listen(p.settings.Callers); err != nil {
+			return errors.Wrap(err, "listen for callers")
+		}
 	}
 	if p.members, err = listen(p.members, p.settings.Peers); err != nil {
 		return errors.Wrap(err, "listen for peers")
@@ -366,7 +378,11 @@
 	if p.peers != nil {
 		p.peers.Close()
 	}
-	for _, listener := range []net.Listener{p.callers, p.members, p.admin} {
+	if p.callers != nil {
+		// It is closed already after a planned stop.
+		_ = p.callers.Close()
+	}
+	for _, listener := range []net.Listener{p.members, p.admin} {
 		if listener != nil {
 			// It is closed already after a planned stop.
 			_ = listener.Close()
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -25,6 +25,7 @@
 	"github.com/ebonyworks/ebonyworks/standin/platform"
 	"github.com/ebonyworks/ebonyworks/standin/server"
 	"github.com/ebonyworks/ebonyworks/transport/caller"
+	"github.com/ebonyworks/ebonyworks/transport/reception"
 )
 
 const (
@@ -94,7 +95,7 @@
 func (s *site) startHosts(service netip.AddrPort) {
 	var seeds []netip.AddrPort
 	for i := range fleetSize {
-		callers, err := net.Listen("tcp", "127.0.0.1:0")
+		callers, err := reception.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 		require.NoError(s.t, err)
 		members, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(s.t, err)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -9,14 +9,15 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/event"
+	"github.com/ebonyworks/ebonyworks/transport/connections"
 	"github.com/ebonyworks/ebonyworks/transport/courier"
+	"github.com/ebonyworks/ebonyworks/transport/reception"
 )
 
 const (
@@ -51,10 +52,11 @@
 	// delegated serves the other hosts; nil without an address for them.
 	delegated *courier.Server
 
-	// callers counts the connections of callers, and fullAt is when the last one
-	// beyond MaxCallers was logged.
-	callers atomic.Int64
-	fullAt  time.Time
+	callers connections.Connections
+	// fullAt is when the last connection beyond MaxCallers was logged.
+	fullAt time.Time
+	// accepting ends once the last connection was handed to its server.
+	accepting sync.WaitGroup
 
 	mutex   sync.Mutex
 	current *http.Server
@@ -65,7 +67,7 @@
 // Run serves until the context ends, and then stops gracefully: not ready
 // first, then no new connections, then the rest of the requests in flight.
 func (s *Server) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", s.Callers.String())
+	callers, err := reception.Listen(s.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -93,7 +95,7 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.Gateway.Run(running)
-	go s.accept(callers)
+	s.accepting.Go(func() { s.accept(callers) })
 	<-ctx.Done()
 	s.stop(callers)
 	return nil
@@ -115,7 +117,7 @@
 const sideHeaderBytes = 8 << 10
 
 // accept hands each connection to the server with the limits in force.
-func (s *Server) accept(listener net.Listener) {
+func (s *Server) accept(listener *reception.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -131,13 +133,14 @@
 			_ = conn.Close()
 			continue
 		}
+		s.callers.Open()
 		s.server().Handler.(*handoff).give(conn)
 	}
 }
 
 // isFull reports whether callers have as many connections as they may.
 func (s *Server) isFull() bool {
-	if s.MaxCallers <= 0 || s.callers.Load() < int64(s.MaxCallers) {
+	if s.MaxCallers <= 0 || s.callers.Count() < s.MaxCallers {
 		return false
 	}
 	if now := time.Now(); now.Sub(s.fullAt) >= fullInterval {
@@ -150,17 +153,6 @@
 // fullInterval is the time between two lines on connections that are refused.
 const fullInterval = time.Second
 
-// countCallers counts the connections of callers.
-func (s *Server) countCallers(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.callers.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.callers.Add(-1)
-	default:
-	}
-}
-
 // acceptPause is the pause after a connection that couldn't be accepted.
 const acceptPause = 50 * time.Millisecond
 
@@ -188,7 +180,7 @@
 		ReadHeaderTimeout: positive(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positive(limits.IdleTimeout, defaultIdleTimeout),
 		ErrorLog:          log.New(errorLog{s}, "", 0),
-		ConnState:         s.countCallers,
+		ConnState:         s.callers.Change,
 	}
 	s.serve(server, handler)
 	return server
@@ -216,18 +208,16 @@
 }
 
 // stop ends the process's work within the grace time.
-func (s *Server) stop(callers net.Listener) {
+func (s *Server) stop(callers *reception.Listener) {
 	begin := time.Now()
 	s.record(event.ProcessStopping, event.Attribute("Grace", s.Grace.String()))
 	s.Gateway.BeginStop()
 	time.Sleep(min(noticeTime, s.Grace/2))
-	if err := callers.Close(); err != nil {
-		s.record(event.AcceptFailed, event.Attribute("Error", err.Error()))
-	}
 	left := max(s.Grace-exitMargin-time.Since(begin), minDrainTime)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	s.Gateway.Leave(ctx)
+	s.drainCallers(ctx, callers)
 	s.mutex.Lock()
 	servers := append([]*http.Server{s.current}, s.retired...)
 	s.mutex.Unlock()
@@ -245,6 +235,18 @@
 	s.record(event.ProcessStopped, event.Attribute("Elapsed", time.Since(begin).String()))
 }
 
+// drainCallers ends the listening for callers, and returns once each request that
+// was sent has its answer. A server that is shut down drops the requests that it
+// reads from then on without an answer, and doesn't wait for connections that it
+// is about to learn of.
+func (s *Server) drainCallers(ctx context.Context, callers *reception.Listener) {
+	if err := callers.Drain(ctx); err != nil {
+		s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
+	}
+	s.accepting.Wait()
+	s.callers.WaitQuiet(ctx)
+}
+
 // drain waits for the requests in flight at a listener.
 func (s *Server) drain(ctx context.Context, server interface {
 	Shutdown(ctx context.Context) error
@@ -284,7 +286,6 @@
 	select {
 	case h.conns <- conn:
 	case <-h.closed:
-		// The server is stopping and has read nothing of the connection.
 		_ = conn.Close()
 	}
 }
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,67 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a planned stop that cuts off requests on connections that were
+// just accepted, by the kernel or by the process: each caller whose connection is
+// opened gets an answer, until connections are refused.
+func TestPlannedStopAnswersFreshConnections(t *testing.T) {
+	s := newSite(t)
+	s.work.Store(int64(20 * time.Millisecond))
+	var asking sync.WaitGroup
+	var answered, cut atomic.Int64
+	for range maxCallers / 2 {
+		asking.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", s.address)
+				if err != nil {
+					return
+				}
+				status, err := askOnce(conn)
+				_ = conn.Close()
+				if err != nil {
+					cut.Add(1)
+					t.Log(err)
+					continue
+				}
+				if status > 0 {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.stop()
+	require.NoError(t, <-s.stopped)
+	asking.Wait()
+	assert.Zero(t, cut.Load())
+	assert.Greater(t, answered.Load(), int64(maxCallers))
+}
+
+// askOnce sends a request on the connection and returns the status of the whole
+// answer.
+func askOnce(conn net.Conn) (int, error) {
+	const request = "GET /all/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 9c41d07be2a35f68\r\nDeadline-Ms: 900\r\nConnection: close\r\n\r\n"
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
