Take a response that names no request only on a connection of its own

Operators told of a late second copy of an answer that reached the next caller, on a connection that was in use again. It could happen here in three ways, each after the check that finds a kept connection quiet: a copy that names no request passed for the next response; so did a late 503 with Not-Executed, which made the caller believe that its request hadn't run; and a copy passed for the response to another request with the same id.

Now a response without an id counts only on the first exchange of its connection, which isn't kept then; on one that was in use it is invalid, so the request may have run. A connection isn't used for the id that it carried last.

--- a/transport/exchange/exchange.go
+++ b/transport/exchange/exchange.go
@@ -32,9 +32,10 @@
 	Deadline time.Time
 	// MaxBody bounds the body of the response in bytes; zero means 32 MiB.
 	MaxBody int64
-	// Accepts reports whether the response belongs to the request; one that
-	// doesn't is skipped. Nil accepts all.
-	Accepts func(header http.Header) bool
+	// ID identifies the request, and IDHeader is the field of the head in which
+	// peers repeat it. Responses to others are skipped. Without IDHeader each
+	// response is taken for the one to this request.
+	ID, IDHeader string
 }
 
 // Response is a complete response.
@@ -68,7 +69,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &RequestError{Unsent: true, cause: err}
 	}
-	conn, err := p.get(ctx, request.To, request.Deadline)
+	conn, err := p.get(ctx, request)
 	if err != nil {
 		return nil, &RequestError{Unsent: true, cause: err}
 	}
@@ -82,10 +83,21 @@
 		conn.discard()
 		return response, err
 	}
+	conn.lastID = request.ID
 	p.put(request.To, conn)
 	return response, err
 }
 
+// identify reports whether the response names the request that it belongs to, and
+// whether it may belong to this one.
+func (r *Request) identify(header http.Header) (named, own bool) {
+	if r.IDHeader == "" {
+		return true, true
+	}
+	echoed := header.Get(r.IDHeader)
+	return echoed != "", echoed == "" || echoed == r.ID
+}
+
 // run writes the request and reads the response. It reports whether the
 // connection is fit for another exchange.
 func (c *connection) run(request *Request) (*Response, bool, error) {
@@ -105,8 +117,13 @@
 			}
 			continue
 		}
-		if request.Accepts == nil || request.Accepts(response.Header) {
-			keep := framed && skipped == 0 && c.reader.Buffered() == 0 && written()
+		named, own := request.identify(response.Header)
+		if !named && (c.reused || skipped > 0) {
+			// It may be a late copy of the response to an earlier request.
+			return nil, false, &RequestError{Invalid: true, cause: errors.New("response names no request on a connection that was in use")}
+		}
+		if own {
+			keep := framed && named && skipped == 0 && c.reader.Buffered() == 0 && written()
 			return response, keep, nil
 		}
 		if skipped++; skipped > maxForeign || !framed {
--- a/transport/exchange/pool.go
+++ b/transport/exchange/pool.go
@@ -62,8 +62,9 @@
 	keepFor time.Duration
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
-	// reused is set after the first exchange.
+	// reused is set after the first exchange, and lastID is the id of the last one.
 	reused bool
+	lastID string
 }
 
 // Opened returns the number of connections that were opened.
@@ -100,13 +101,16 @@
 }
 
 // get returns a kept connection that is sound, or opens one.
-func (p *Pool) get(ctx context.Context, address netip.AddrPort, deadline time.Time) (*connection, error) {
+func (p *Pool) get(ctx context.Context, request *Request) (*connection, error) {
 	for {
-		conn := p.takeIdle(address)
+		conn := p.takeIdle(request.To)
 		if conn == nil {
-			return p.open(ctx, address, deadline)
+			return p.open(ctx, request.To, request.Deadline)
 		}
-		if !conn.expired(time.Now()) && conn.quiet() {
+		// A late copy of the last response would pass for the one to a request with
+		// the same id.
+		repeats := request.IDHeader != "" && conn.lastID == request.ID
+		if !repeats && !conn.expired(time.Now()) && conn.quiet() {
 			return conn, nil
 		}
 		conn.discard()
