Let probes of servers end, so that slightly slower ones return

Cause: since all attempts end once their leg has its response, and so did copies of requests that tell whether a degraded server is quick again. Such a copy had to win against the first attempt.

A probe now goes on for as long again as its request took. Like a second attempt, it isn't sent to a server with a queue while queues stand at many servers.

Gateways have metrics of the age and the source of what they know of the store.

--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -41,8 +41,9 @@
 	// run, and read by the run after that.
 	record   ebonyworks.AttemptRecord
 	response ebonyworks.ServerResponse
-	// ended is set by the run when it has taken the end.
-	ended bool
+	// ended is set by the run when it has taken the end, and abandoned when it needs
+	// no response.
+	ended, abandoned bool
 	// waiting and sending end with the attempt's use: it gives up its place in the
 	// queue for a permit, or closes its connection.
 	waiting, sending use
@@ -78,7 +79,7 @@
 func (a *attempt) run() {
 	run := a.leg.run
 	f := run.forwarder
-	defer a.abandon()
+	defer a.stop()
 	permit, ok := f.Quota.Acquire(&a.waiting, a.leg.view, a.candidate.Server.ID)
 	if !ok {
 		return
@@ -101,8 +102,23 @@
 	a.learn()
 }
 
-// abandon ends the attempt: nobody needs its response.
+// abandon ends the attempt: nobody needs its response. A probe goes on for as long
+// again as the request took so far: how its server compares with the others decides
+// whether that is used again.
 func (a *attempt) abandon() {
+	if a.kind != attemptProbe {
+		a.stop()
+		return
+	}
+	a.waiting.end(context.Canceled)
+	if !a.abandoned {
+		a.abandoned = true
+		time.AfterFunc(time.Since(a.leg.run.request.Arrival), a.stop)
+	}
+}
+
+// stop gives up the place in the queue for a permit, or closes the connection.
+func (a *attempt) stop() {
 	a.waiting.end(context.Canceled)
 	a.sending.end(context.Canceled)
 }
--- a/coordination/fanout/faults_test.go
+++ b/coordination/fanout/faults_test.go
@@ -115,6 +115,37 @@
 	}
 }
 
+// Guards against servers that are never found to be back: they get copies of
+// requests only, and are a little slower than the servers whose responses are used.
+func TestSlightlySlowerServersReturn(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.warmUp()
+		back := served(usual)
+		w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+			if strings.HasSuffix(string(id), "a") {
+				return served(time.Minute)
+			}
+			return back
+		})
+		_, _ = w.requests(t, "/all/first-", 50)
+		w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+			if strings.HasSuffix(string(id), "a") {
+				return served(usual + 2*time.Millisecond)
+			}
+			return back
+		})
+		time.Sleep(10 * time.Second)
+		_, _ = w.requests(t, "/all/back-", 1000)
+		used := 0
+		for id, count := range w.reached() {
+			if strings.HasSuffix(string(id), "a") && count > 100 {
+				used++
+			}
+		}
+		assert.Equal(t, shardCount, used)
+	})
+}
+
 // Guards against a fan-out that goes on for a shard that has no server at all,
 // and against one that fails because of it.
 func TestShardWithoutServers(t *testing.T) {
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -119,7 +119,7 @@
 	l.start(l.offered[l.first], attemptFirst, l.run.repeat)
 	l.scheduleHedge(now)
 	for i := range l.offered {
-		if i == l.first || !l.offered[i].Probe || !l.mayStart() || !l.admits(l.offered[i].Server.ID) {
+		if i == l.first || !l.offered[i].Probe || !l.mayStart() || !l.admits(l.offered[i].Server.ID) || !l.hasRoom(&l.offered[i]) {
 			continue
 		}
 		if l.run.forwarder.Repeats.Left(l.id) > probeReserve && l.run.forwarder.Repeats.Take(l.id) {
@@ -139,6 +139,12 @@
 	return l.spent+l.inFlight < l.run.route.MaxAttempts && l.started < l.run.route.MaxAttempts+maxResends
 }
 
+// hasRoom reports whether a second attempt at the server, or a probe, leaves the
+// room that first attempts need.
+func (l *leg) hasRoom(candidate *ebonyworks.Candidate) bool {
+	return !l.run.admission.overloaded() || hasFreeSlot(candidate, l.view.Slots)
+}
+
 // hedge starts a second attempt at another server if that can help.
 func (l *leg) hedge(now time.Time) {
 	l.due = time.Time{}
@@ -153,7 +159,7 @@
 	switch {
 	case candidate.InFlight >= candidate.Limit:
 		l.withheld = "no permit is free at another server"
-	case l.run.admission.overloaded() && !hasFreeSlot(&candidate, l.view.Slots):
+	case !l.hasRoom(&candidate):
 		l.withheld = "queues stand at the other servers"
 	default:
 		l.withheld = ""
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,7 +12,7 @@
 
 // Measure creates the instruments of the host's own state. It is called once.
 func (g *Gateway) Measure(meter metric.Meter) error {
-	var failures [5]error
+	var failures [8]error
 	revision, err := meter.Int64ObservableGauge(instrument.Revision)
 	failures[0] = err
 	ready, err := meter.Int64ObservableGauge(instrument.Ready)
@@ -23,6 +23,12 @@
 	failures[3] = err
 	opened, err := meter.Int64ObservableCounter(instrument.Opened)
 	failures[4] = err
+	storeAge, err := meter.Float64ObservableGauge(instrument.StoreAge, metric.WithUnit("s"))
+	failures[5] = err
+	storeRead, err := meter.Int64ObservableGauge(instrument.StoreRead)
+	failures[6] = err
+	storeCalls, err := meter.Int64ObservableCounter(instrument.StoreCalls)
+	failures[7] = err
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create the gateway's instruments")
 	}
@@ -34,8 +40,13 @@
 		if g.options.Connections != nil {
 			out.ObserveInt64(opened, int64(g.options.Connections.Opened()))
 		}
+		if age, known := g.upstream.Age(); known {
+			out.ObserveFloat64(storeAge, age.Seconds())
+		}
+		out.ObserveInt64(storeRead, instrument.Flag(g.upstream.Reads()))
+		out.ObserveInt64(storeCalls, int64(g.upstream.Calls()))
 		return nil
-	}, revision, ready, hosts, quarantined, opened)
+	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls)
 	if err != nil {
 		return errors.Wrap(err, "register the gateway's metrics")
 	}
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -47,6 +47,9 @@
 	MissedParts  = "ebonyworks.missed_parts"
 	Hosts        = "ebonyworks.hosts"
 	Opened       = "ebonyworks.connections.opened"
+	StoreAge     = "ebonyworks.store.age"
+	StoreRead    = "ebonyworks.store.read"
+	StoreCalls   = "ebonyworks.store.calls"
 )
 
 // Catalogue returns all metrics in the order of docs/telemetry.md.
@@ -83,6 +86,9 @@
 		{Name: MissedParts, Kind: Counter, Labels: []string{"route"}},
 		{Name: Hosts, Kind: Gauge},
 		{Name: Opened, Kind: Counter},
+		{Name: StoreAge, Kind: Gauge, Unit: "s"},
+		{Name: StoreRead, Kind: Gauge},
+		{Name: StoreCalls, Kind: Counter},
 	}
 }
 
