Send bytes without end to real processes; name requests in the soak's refusals

The soak's stand-in servers sent 421 and 503 without the id of the request; servers of the platform repeat it in each response, and since a response without one isn't taken on a connection in use again.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -22,6 +22,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// memoryMb is the size at which a process of the gateway counts as killed.
+const memoryMb = 184
+
 // front is one process of the gateway.
 type front struct {
 	address, ready, settings string
@@ -74,7 +77,7 @@
 		content := strings.Join([]string{
 			"NodeName=host-" + fmt.Sprint(i), "Zone=zone-" + fmt.Sprint(i), "ListenAddrs.Front=" + f.address, "ListenAddrs.Ready=" + f.ready,
 			"ListenAddrs.Control=" + ip + ":7003", "Seeds=" + strings.Join(seeds, ","), "platform.Address=" + s.storeLinks[i].address(),
-			"Limits.CpuShare=0.4", "Limits.Cores=1", "Bounds.GraceS=6", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10",
+			"Limits.CpuShare=0.4", "Limits.Cores=1", fmt.Sprintf("Limits.MemoryMb=%d", memoryMb), "Bounds.GraceS=6", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10",
 			"Bounds.RetrySlack=56", "Bounds.ConfigApplyMs=3000", "Bounds.DrainMs=3000",
 		}, "\n")
 		require.NoError(t, os.WriteFile(f.settings, []byte(content), 0o600))
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -181,8 +181,8 @@
 	mutex sync.Mutex
 	// delay is how long a request takes.
 	delay time.Duration
-	// fault is "", shed, lose (the answer), reset (before it runs), garble or
-	// silent (the link).
+	// fault is "", shed, lose (the answer), reset (before it runs), garble, extra,
+	// silent (the link), or the beginning of bytes without end (endless).
 	fault string
 	// leftAt is when the entry said that the server is leaving; zero if it
 	// isn't.
@@ -232,6 +232,9 @@
 	return fmt.Sprintf("%-16.16s", fmt.Sprintf("%d%s%s", (len(service)+int(id[len(id)-1])+place)%10, id, service[len(service)-1:]))
 }
 
+// junk are bytes that are no answer.
+var junk = strings.Repeat("0123456789abcdef", 4<<10)
+
 func (b *backend) answer(conn net.Conn, request *http.Request, body []byte) bool {
 	id := request.Header.Get("Request-Id")
 	delay, fault, leftAt := b.state()
@@ -241,14 +244,14 @@
 	}
 	switch {
 	case request.Header.Get("Target-Instance") != b.id:
-		return respond("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.id)
+		return respond("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, b.id)
 	case fault == "silent":
 		time.Sleep(2 * time.Second)
 		return false
 	case fault == "reset":
 		return false
 	case fault == "shed":
-		return respond("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
 	if !leftAt.IsZero() && time.Since(leftAt) > drainBound {
 		b.ledger.problem("server %s got %s %s after its entry said that it leaves", b.id, id, time.Since(leftAt))
@@ -260,6 +263,14 @@
 	time.Sleep(delay)
 	content := record(b.service, id, 0) + record(b.service, id, 1)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s/%s\r\nServer-Load: 1,0,2\r\nContent-Length: %d\r\n\r\n", id, b.service, id, len(content))
+	if start, endless := strings.CutPrefix(fault, "endless "); endless {
+		if !respond("%s", strings.ReplaceAll(start, "ID", id)) {
+			return false
+		}
+		for respond("%s", junk) {
+		}
+		return false
+	}
 	switch fault {
 	case "lose":
 		return false
