--- a/gateway/server.go
+++ b/gateway/server.go
@@ -216,35 +216,35 @@
 	left := max(s.Grace-exitMargin-time.Since(begin), minDrainTime)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	if err := callers.Drain(ctx); err != nil {
+		s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
+	}
+	s.accepting.Wait()
 	s.Gateway.Leave(ctx)
-	s.drainCallers(ctx, callers)
-	s.mutex.Lock()
-	servers := append([]*http.Server{s.current}, s.retired...)
-	s.mutex.Unlock()
 	var draining sync.WaitGroup
-	for _, server := range servers {
-		if server != nil {
-			draining.Go(func() { s.drain(ctx, server) })
-		}
-	}
 	if s.delegated != nil {
 		// Requests that smaller hosts delegated before the stop are in flight.
 		draining.Go(func() { s.drain(ctx, s.delegated) })
 	}
+	draining.Go(func() { s.drainCallers(ctx) })
 	draining.Wait()
 	s.record(event.ProcessStopped, event.Attribute("Elapsed", time.Since(begin).String()))
 }
 
-// drainCallers ends the listening for callers, and returns once each request that
-// was sent has its answer. A server that is shut down drops the requests that it
-// reads from then on without an answer, and doesn't wait for connections that it
-// is about to learn of.
-func (s *Server) drainCallers(ctx context.Context, callers *reception.Listener) {
-	if err := callers.Drain(ctx); err != nil {
-		s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
-	}
-	s.accepting.Wait()
+// drainCallers shuts the servers of callers down once each request that was sent
+// has its answer: a server that is shut down drops the requests that it reads from
+// then on without an answer, and doesn't wait for connections that it is about to
+// learn of.
+func (s *Server) drainCallers(ctx context.Context) {
 	s.callers.WaitQuiet(ctx)
+	s.mutex.Lock()
+	servers := append([]*http.Server{s.current}, s.retired...)
+	s.mutex.Unlock()
+	for _, server := range servers {
+		if server != nil {
+			s.drain(ctx, server)
+		}
+	}
 }
 
 // drain waits for the requests in flight at a listener.
