--- a/transport/exchange/body.go
+++ b/transport/exchange/body.go
@@ -20,10 +20,15 @@
 	// maxExtensions those of one response together.
 	maxChunkLine  = 256
 	maxExtensions = 16 << 10
+	// freeChunks may have any size. Further ones have meanChunk bytes on average:
+	// the work for a chunk doesn't depend on its size.
+	freeChunks = 4 << 10
+	meanChunk  = 64
 )
 
 var (
 	errBodyTooLarge = errors.New("response body is too large")
+	errSmallChunks  = errors.New("response has too many small chunks")
 	errNoMemory     = errors.New("no memory is left for responses")
 )
 
@@ -172,7 +177,7 @@
 // readChunks reads the chunks and the trailer.
 func (b *body) readChunks() error {
 	extensions := 0
-	for {
+	for count := 1; ; count++ {
 		line, err := b.conn.readChunkLine()
 		if err != nil {
 			return err
@@ -192,6 +197,9 @@
 		if err := b.read(int64(size)); err != nil {
 			return err
 		}
+		if count > freeChunks && len(b.bytes) < (count-freeChunks)*meanChunk {
+			return errSmallChunks
+		}
 		if line, err := b.conn.readChunkLine(); err != nil || line != "" {
 			return errors.Wrap(errMalformed, "end of chunk")
 		}
