--- /dev/null
+++ b/transport/connections/connections_test.go
@@ -0,0 +1,60 @@
+package connections_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks/transport/connections"
+)
+
+// Guards against a server that is shut down while a request is on its way: on a
+// connection that was handed over, that hasn't sent a byte, or that is answered.
+func TestQuiet(t *testing.T) {
+	var c connections.Connections
+	first, second := new(net.TCPConn), new(net.TCPConn)
+	assert.True(t, c.Quiet())
+	c.Open()
+	assert.False(t, c.Quiet(), "handed over")
+	for _, step := range []struct {
+		conn  net.Conn
+		state http.ConnState
+		quiet bool
+		count int
+	}{
+		{first, http.StateNew, false, 1},
+		{first, http.StateActive, false, 1},
+		{first, http.StateIdle, true, 1},
+		{first, http.StateActive, false, 1},
+		{second, http.StateNew, false, 2},
+		{first, http.StateIdle, false, 2},
+		{second, http.StateClosed, true, 1},
+		{first, http.StateHijacked, true, 0},
+	} {
+		c.Change(step.conn, step.state)
+		assert.Equal(t, step.quiet, c.Quiet(), step.state)
+		assert.Equal(t, step.count, c.Count(), step.state)
+	}
+}
+
+// Guards against a stop that waits for a caller without an end.
+func TestWaitEndsWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var c connections.Connections
+		conn := new(net.TCPConn)
+		c.Change(conn, http.StateNew)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		begin := time.Now()
+		c.WaitQuiet(ctx)
+		assert.Equal(t, time.Second, time.Since(begin))
+		c.Change(conn, http.StateClosed)
+		c.WaitQuiet(t.Context())
+		assert.Equal(t, time.Second, time.Since(begin))
+	})
+}
