--- a/gateway/benchmark_test.go
+++ b/gateway/benchmark_test.go
@@ -28,7 +28,9 @@
 }
 
 func (s fixedStore) List(context.Context, bool) (ebonyworks.StoreListing, error) {
-	return s.listing, nil
+	listing := s.listing
+	listing.Complete = true
+	return listing, nil
 }
 
 func (s fixedStore) Watch(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) (ebonyworks.StoreListing, error) {
@@ -108,9 +110,9 @@
 	go host.Run(ctx)
 	require.Eventually(b, host.Ready, time.Second, time.Millisecond)
 	b.ReportAllocs()
-	for b.Loop() {
+	for number := 0; b.Loop(); number++ {
 		reply := host.Forward(ctx, &ebonyworks.ForwardRequest{
-			ID: "9c41d07be2a35f68", Host: "host", Method: "GET", Target: "/a/2f", Arrival: time.Now(), Patience: time.Second,
+			ID: ebonyworks.RequestID(fmt.Sprintf("%016x", number)), Host: "host", Method: "GET", Target: "/a/2f", Arrival: time.Now(), Patience: time.Second,
 		})
 		if reply.Kind != ebonyworks.ReplyMerged {
 			b.Fatal(reply.Reason)
