--- a/coordination/fanout/faults_test.go
+++ b/coordination/fanout/faults_test.go
@@ -37,6 +37,18 @@
 	return inTime, complete
 }
 
+// usedAgain returns how many of the servers that were lost got more attempts than
+// that.
+func (w *world) usedAgain(most int) int {
+	used := 0
+	for id, count := range w.reached() {
+		if strings.HasSuffix(string(id), "a") && count > most {
+			used++
+		}
+	}
+	return used
+}
+
 // part returns a number from 0 to 1 that is fixed for the arguments.
 func part(arguments ...any) float64 {
 	hash := fnv.New64a()
@@ -103,13 +115,7 @@
 				w.set(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior { return served(usual) })
 				time.Sleep(10 * time.Second)
 				_, _ = w.requests(t, "/all/back-", 1000)
-				used := 0
-				for id, count := range w.reached() {
-					if strings.HasSuffix(string(id), "a") && count > 10 {
-						used++
-					}
-				}
-				assert.Equal(t, shardCount, used, "servers that are back get their part of the requests")
+				assert.Equal(t, shardCount, w.usedAgain(10), "servers that are back get their part of the requests")
 			})
 		})
 	}
@@ -136,13 +142,7 @@
 		})
 		time.Sleep(10 * time.Second)
 		_, _ = w.requests(t, "/all/back-", 1000)
-		used := 0
-		for id, count := range w.reached() {
-			if strings.HasSuffix(string(id), "a") && count > 100 {
-				used++
-			}
-		}
-		assert.Equal(t, shardCount, used)
+		assert.Equal(t, shardCount, w.usedAgain(100))
 	})
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -23,6 +22,7 @@
 	"github.com/ebonyworks/ebonyworks/coordination/allowance"
 	"github.com/ebonyworks/ebonyworks/gateway"
 	"github.com/ebonyworks/ebonyworks/platform"
+	"github.com/ebonyworks/ebonyworks/standin/plain"
 	"github.com/ebonyworks/ebonyworks/transport/courier"
 )
 
@@ -52,36 +52,15 @@
 // that begins with the name.
 func (s *site) serveRecord(t *testing.T, name string) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := plain.Listen(func(conn net.Conn, _ int, request *http.Request, _ []byte) bool {
+		time.Sleep(time.Duration(s.work.Load()))
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\nContent-Length: 16\r\n\r\n%-16s",
+			request.Header.Get("Request-Id"), "stamp-"+name, name, name)
+		return err == nil
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, request.Body); err != nil {
-						return
-					}
-					time.Sleep(time.Duration(s.work.Load()))
-					if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\nContent-Length: 16\r\n\r\n%-16s",
-						request.Header.Get("Request-Id"), "stamp-"+name, name, name); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	t.Cleanup(func() { _ = server.Close() })
+	return server.Address()
 }
 
 func newSite(t *testing.T) *site {
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -14,9 +12,7 @@
 // Guards against processes that grow beyond their memory, or end, while servers
 // send bytes that are no answer until the connection is closed.
 func TestEndlessBytesLeaveMemory(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "ebony-front")
-	output, err := exec.Command("go", "build", "-o", binary, "github.com/ebonyworks/ebonyworks/cmd/ebony-front").CombinedOutput()
-	require.NoError(t, err, string(output))
+	binary := buildFront(t)
 	site := newSite(t, binary, 1001)
 	site.start(t)
 	callers := site.startCallers(t)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,15 +44,21 @@
 // faults of the store, the servers and the links, and changes of the
 // configuration come in series and overlap.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "ebony-front")
-	build := exec.Command("go", "build", "-o", binary, "github.com/ebonyworks/ebonyworks/cmd/ebony-front")
-	output, err := build.CombinedOutput()
-	require.NoError(t, err, string(output))
+	binary := buildFront(t)
 	for _, seed := range parseSeeds(t, *seeds) {
 		t.Run("seed="+strconv.FormatUint(seed, 10), func(t *testing.T) { soakOnce(t, binary, seed) })
 	}
 }
 
+// buildFront returns the path of the gateway's binary.
+func buildFront(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "ebony-front")
+	output, err := exec.Command("go", "build", "-o", binary, "github.com/ebonyworks/ebonyworks/cmd/ebony-front").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
 func parseSeeds(t *testing.T, list string) []uint64 {
 	t.Helper()
 	var parsed []uint64
--- a/transport/exchange/exchange_test.go
+++ b/transport/exchange/exchange_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/ebonyworks/ebonyworks/standin/plain"
 	"github.com/ebonyworks/ebonyworks/state/memory"
 	"github.com/ebonyworks/ebonyworks/transport/exchange"
 )
@@ -25,32 +26,14 @@
 // serve answers each request on each connection with what answer writes.
 func serve(t *testing.T, answer func(conn net.Conn, writer *bufio.Writer)) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := plain.Listen(func(conn net.Conn, _ int, _ *http.Request, _ []byte) bool {
+		writer := bufio.NewWriterSize(conn, 64<<10)
+		answer(conn, writer)
+		return writer.Flush() == nil
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				writer := bufio.NewWriterSize(conn, 64<<10)
-				for {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					answer(conn, writer)
-					if writer.Flush() != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	t.Cleanup(func() { _ = server.Close() })
+	return server.Address()
 }
 
 func get(pool *exchange.Pool, address netip.AddrPort, maxBody int64) (*exchange.Response, error) {
