--- /dev/null
+++ b/coordination/fanout/budget_test.go
@@ -0,0 +1,171 @@
+package fanout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
+	"github.com/ebonyworks/ebonyworks/coordination/delegation"
+	"github.com/ebonyworks/ebonyworks/coordination/routing"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+// Guards against repeats of two hosts that run the same requests which together
+// exceed the bound of a service in some window, whatever is late, lost or frozen.
+func TestHostsKeepRepeatBoundTogether(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) { checkRepeats(t, w, seed) })
+		})
+	}
+}
+
+func checkRepeats(t *testing.T, w *world, seed uint64) {
+	bound := allowance.Bound{Ratio: 0.2, Slack: 6, Window: 10 * time.Second}
+	random := rand.New(rand.NewPCG(seed, 1))
+	table := w.Table()
+	tables := func() *routing.Table { return table }
+	w.set(func(id ebonyworks.ServerID, request *ebonyworks.ForwardRequest) behavior {
+		return troubleOf(seed, id, request.ID)
+	})
+	larger := w.forwarder(&frozen{world: w, random: rand.New(rand.NewPCG(seed, 2))}, tables, rand.New(rand.NewPCG(seed, 3)), 8, 2)
+	smaller := w.forwarder(&frozen{world: w, random: rand.New(rand.NewPCG(seed, 4))}, tables, rand.New(rand.NewPCG(seed, 5)), 8, 2)
+	larger.Directory, smaller.Directory = addReplicas(w, random), addReplicas(w, random)
+	larger.Repeats, smaller.Repeats = allowance.New(bound, 2), allowance.New(bound, 2)
+	larger.Inspection, smaller.Inspection, smaller.Domain = nil, nil, "b"
+	smaller.Delegation = &delegation.Delegator{
+		Self:      ebonyworks.Host{ID: "small", Domain: "b", Capacity: 0.2},
+		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
+		Peer:      &link{larger: larger, random: rand.New(rand.NewPCG(seed, 6))},
+		Selection: &selection.Selector{},
+		Register:  &register.Register{ProbeByRequest: true},
+	}
+	time.Sleep(bound.Window)
+	var sent []time.Time
+	for i := range 900 {
+		host := smaller
+		if i%3 == 0 {
+			host = larger
+		}
+		id := ebonyworks.RequestID(fmt.Sprintf("%d-%d", seed, i))
+		sent = append(sent, time.Now())
+		go host.Forward(context.Background(), &ebonyworks.ForwardRequest{
+			ID: id, Host: "h", Method: "GET", Target: "/all/" + string(id), Arrival: time.Now(), Patience: timeout,
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	time.Sleep(10 * timeout)
+	repeats := w.repeats(seed)
+	assert.NotEmpty(t, repeats)
+	for shard, times := range repeats {
+		for i, end := range times {
+			count := i + 1 - countBefore(times, end.Add(-bound.Window))
+			asked := 0
+			for _, earlier := range []time.Duration{0, bound.Window / 2, bound.Window} {
+				from, to := end.Add(-earlier-bound.Window), end.Add(-earlier)
+				asked = max(asked, countBefore(sent, to)-countBefore(sent, from))
+			}
+			assert.LessOrEqual(t, float64(count), bound.Ratio*float64(asked)+bound.Slack, "%s at %s", shard, end)
+		}
+	}
+}
+
+// repeats returns when requests reached a shard once more, in order.
+func (w *world) repeats(seed uint64) map[string][]time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	seen := make(map[string]bool)
+	repeats := make(map[string][]time.Time)
+	for _, one := range w.arrivals {
+		if troubleOf(seed, one.server, one.request).result == ebonyworks.AttemptUnreachable {
+			continue
+		}
+		shard := string(one.server[:len("shard-00")])
+		key := shard + string(one.request)
+		if seen[key] {
+			repeats[shard] = append(repeats[shard], one.at)
+		}
+		seen[key] = true
+	}
+	return repeats
+}
+
+// countBefore returns how many of the ordered times are before the given one.
+func countBefore(times []time.Time, limit time.Time) int {
+	count := 0
+	for _, at := range times {
+		if at.Before(limit) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against repeats that aren't counted: a request that reached a server, then
+// none at a second one, reaches a third.
+func TestRepeatAfterUnreachableServerIsCounted(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// ends is what becomes of the first attempt, after the given time.
+		ends behavior
+	}{
+		{"failed, then unreachable", behavior{takes: time.Millisecond, result: ebonyworks.AttemptFailed, status: 500}},
+		{"refused, then unreachable", behavior{takes: time.Millisecond, result: ebonyworks.AttemptShed}},
+		{"failed after a hedge was unreachable", behavior{takes: target, result: ebonyworks.AttemptFailed, status: 500}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) {
+				w.warmUp()
+				w.Directory = addReplicas(w, rand.New(rand.NewPCG(1, 1)))
+				first := ebonyworks.ServerID("")
+				w.set(func(id ebonyworks.ServerID, _ *ebonyworks.ForwardRequest) behavior {
+					switch first {
+					case "":
+						first = id
+						return test.ends
+					case "unreachable":
+						return served(usual)
+					default:
+						first = "unreachable"
+						return behavior{takes: 2 * target, result: ebonyworks.AttemptUnreachable}
+					}
+				})
+				repeats := &countedRepeats{left: 1}
+				w.Repeats = repeats
+				w.ask("/one/1")
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
+				// One arrival found no server.
+				assert.Equal(t, len(w.arrivals)-2, repeats.taken)
+			})
+		})
+	}
+}
+
+// countedRepeats grants a number of repeats.
+type countedRepeats struct{ left, taken int }
+
+func (*countedRepeats) Count(ebonyworks.ServiceID) {}
+
+func (r *countedRepeats) Take(ebonyworks.ServiceID) bool {
+	if r.left == 0 {
+		return false
+	}
+	r.left--
+	r.taken++
+	return true
+}
+
+func (r *countedRepeats) Left(ebonyworks.ServiceID) float64 { return float64(r.left) }
+
+func (r *countedRepeats) Return(ebonyworks.ServiceID) {
+	r.left++
+	r.taken--
+}
--- a/coordination/fanout/fallback_test.go
+++ b/coordination/fanout/fallback_test.go
@@ -117,6 +117,11 @@
 	{takes: time.Millisecond, result: ebonyworks.AttemptUnreachable},
 }
 
+// troubleOf returns what the server does with the request.
+func troubleOf(seed uint64, server ebonyworks.ServerID, request ebonyworks.RequestID) behavior {
+	return troubles[int(part(seed, server, request)*float64(len(troubles)))]
+}
+
 // Guards against a request that runs on more servers of a shard than its route
 // allows because two hosts run it, however late or lost the messages between them
 // are, and although they know other servers and one of them stands still.
@@ -138,7 +143,7 @@
 	tables := func() *routing.Table { return table }
 	larger, smaller := addReplicas(w, random), addReplicas(w, random)
 	w.set(func(id ebonyworks.ServerID, request *ebonyworks.ForwardRequest) behavior {
-		return troubles[int(part(seed, id, request.ID)*float64(len(troubles)))]
+		return troubleOf(seed, id, request.ID)
 	})
 	other := w.forwarder(&frozen{world: w, random: rand.New(rand.NewPCG(seed, 2))}, tables, rand.New(rand.NewPCG(seed, 3)), 8, 1)
 	other.Directory, other.Inspection, other.Domain = larger, nil, "c"
@@ -195,7 +200,7 @@
 	}
 	ran := make(map[run]map[ebonyworks.ServerID]bool)
 	for _, one := range w.arrivals {
-		does := troubles[int(part(seed, one.server, one.request)*float64(len(troubles)))]
+		does := troubleOf(seed, one.server, one.request)
 		if does.result.ProvesNotRun() {
 			continue
 		}
