Count each repeat once a server may have got the request

Callers saw nothing; servers got more repeats than the bound allows, on services of three or more servers, while some refuse connections and others fail or are crowded.

Cause: an attempt after one that found no server was free of charge, although an earlier attempt of the request had reached a server: failed or refused at the first, nobody at the second (its charge is given back), free at the third. The same after a hedge that found nobody.

Why it works: whether an attempt is a repeat now follows from what may have arrived before it, not from the end of the last attempt.

--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -26,6 +26,9 @@
 	asked []ebonyworks.ServerID
 	// started counts the attempts, and spent those that may have run.
 	started, spent int
+	// arrived is set once a server may have got the request from this host. Each
+	// further arrival is a repeat.
+	arrived bool
 	inFlight       int
 	// due is when a hedge is considered; zero if none is.
 	due time.Time
@@ -184,7 +187,9 @@
 	} else {
 		l.spent++
 	}
-	if end.record.Result == ebonyworks.AttemptUnreachable && end.charged {
+	if end.record.Result != ebonyworks.AttemptUnreachable {
+		l.arrived = true
+	} else if end.charged {
 		l.run.forwarder.Repeats.Return(l.id)
 	}
 	switch {
@@ -245,8 +250,8 @@
 	if !ok {
 		return
 	}
-	// A server that couldn't be reached saw no request, so this isn't a repeat.
-	charged := failed != ebonyworks.AttemptUnreachable
+	// If no server could be reached so far, none saw the request.
+	charged := l.arrived || l.run.repeat
 	if charged && !l.run.forwarder.Repeats.Take(l.id) {
 		l.starved = true
 		return
