--- a/backend.go
+++ b/backend.go
@@ -136,7 +136,11 @@
 	Hedge bool
 	// Retry is set for an attempt after a failed one.
 	Retry bool
-	// Cause explains an attempt without a usable response, for the log.
+	// RetryAfter is how long the server wants no request of this host; zero if it
+	// didn't say.
+	RetryAfter time.Duration
+	// Cause explains an attempt without a usable response, or a part of one that
+	// isn't used, for the log.
 	Cause string
 }
 
--- a/coordination/delegation/delegator.go
+++ b/coordination/delegation/delegator.go
@@ -45,6 +45,9 @@
 	// Register holds what is known of the other hosts' latency and failures. It
 	// must not be shared with that of the servers.
 	Register *register.Register
+	// Departed is called for each server that said, in a reply of another host, that
+	// it is leaving. Nil is allowed.
+	Departed func(ebonyworks.Departure)
 	Recorder ebonyworks.Recorder
 
 	mutex sync.Mutex
@@ -161,6 +164,7 @@
 	switch {
 	case delivery == ebonyworks.Delivered:
 		d.observe(candidate, ebonyworks.AttemptServed, time.Since(start))
+		d.departed(reply.Departures)
 	case ctx.Err() != nil:
 	case delivery == ebonyworks.NotDelivered:
 		d.observe(candidate, ebonyworks.AttemptUnreachable, 0)
@@ -170,6 +174,15 @@
 	return delegated{reply: reply, delivery: delivery}
 }
 
+func (d *Delegator) departed(departures []ebonyworks.Departure) {
+	if d.Departed == nil {
+		return
+	}
+	for _, departure := range departures {
+		d.Departed(departure)
+	}
+}
+
 // choose selects a larger host, and returns false if none works.
 func (d *Delegator) choose() (ebonyworks.Host, ebonyworks.ServerID, bool) {
 	d.mutex.Lock()
--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -35,6 +35,10 @@
 	kind      attemptKind
 	// charged is set if the attempt was taken from the repeats.
 	charged bool
+	// awaits is set if the attempt may wait until its server takes requests again.
+	awaits bool
+	// declined is why the attempt wasn't sent; empty if it was. It is set as record.
+	declined string
 	// phase moves from phaseWaiting to one of the others, once.
 	phase atomic.Int32
 	// record and response are set before the attempt is sent to the ends of the
@@ -57,7 +61,7 @@
 		Server:  a.candidate.Server.ID,
 		Result:  ebonyworks.AttemptUnreachable,
 		Hedge:   a.kind == attemptHedge || a.kind == attemptProbe,
-		Retry:   a.kind == attemptRetry,
+		Retry:   a.kind == attemptRetry || a.kind == attemptFirst && a.charged,
 	}
 	a.contained()
 	run.ends <- a
@@ -83,6 +87,9 @@
 		return
 	}
 	defer func() { permit.Release(a.record) }()
+	if !a.cleared() {
+		return
+	}
 	if !a.phase.CompareAndSwap(phaseWaiting, phaseSent) {
 		return
 	}
@@ -91,15 +98,40 @@
 	a.record.Latency = time.Since(start)
 	a.record.Result = a.check(&outcome)
 	a.record.Report = outcome.Report
+	if a.record.Report.Incarnation == 0 {
+		// The response is that of the incarnation that was asked, even if another
+		// one is known by now.
+		a.record.Report.Incarnation = a.candidate.Incarnation
+	}
+	a.record.RetryAfter = outcome.RetryAfter
 	a.record.Cause = outcome.Cause
 	a.response = outcome.Response
 	if run.route.Scattered() {
 		a.response.Body = a.leg.trim(a.response.Body)
 	}
-	permit.Release(a.record)
+	// The attempts that wait for the permit ask for clearance once they have it.
 	a.learn()
 }
 
+// cleared reports whether the server still takes the request. It may have asked for
+// no requests, or said that it is leaving, since it was chosen.
+func (a *attempt) cleared() bool {
+	for {
+		clearance := a.leg.run.forwarder.Servers.Clearance(a.candidate.Server.ID)
+		if clearance.Granted() {
+			return true
+		}
+		if clearance.Leaving {
+			a.declined = "server " + string(a.candidate.Server.ID) + " is leaving"
+			return false
+		}
+		if !a.awaits || !a.waiting.sleep(clearance.Rest) {
+			a.declined = "server " + string(a.candidate.Server.ID) + " wants no requests for " + clearance.Rest.Round(time.Millisecond).String()
+			return false
+		}
+	}
+}
+
 // abandon ends the attempt: nobody needs its response. A probe goes on for as long
 // again as the request took so far: how its server compares with the others decides
 // whether that is used again.
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -25,6 +25,11 @@
 	// Candidates returns the servers that may get an attempt. Only idempotent
 	// requests are offered probes of servers that may be slow or failing.
 	Candidates(service *ebonyworks.Service, idempotent bool) []ebonyworks.Candidate
+	// Clearance tells whether a server that was chosen before may be sent a request
+	// now.
+	Clearance(server ebonyworks.ServerID) ebonyworks.Clearance
+	// Avoided returns the servers that get no request now, or nil if there are none.
+	Avoided() map[ebonyworks.ServerID]bool
 	// Observe learns from an ended attempt.
 	Observe(record ebonyworks.AttemptRecord)
 }
@@ -202,6 +207,9 @@
 func (f *Forwarder) run(ctx context.Context, request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, from origin) ebonyworks.ForwardReply {
 	run := f.newRun(request, route, revision, from)
 	reply := run.do(ctx)
+	if from.relayed {
+		reply.Departures = run.departures()
+	}
 	if f.Observer != nil {
 		f.Observer.Forwarded(run.report(reply))
 	}
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -28,8 +28,8 @@
 	started, spent int
 	// arrived is set once a server may have got the request from this host. Each
 	// further arrival is a repeat.
-	arrived bool
-	inFlight       int
+	arrived  bool
+	inFlight int
 	// due is when a hedge is considered; zero if none is.
 	due time.Time
 	// done is set once response is the answer of the leg.
@@ -45,8 +45,12 @@
 	// index of the one that was chosen.
 	offered []ebonyworks.Candidate
 	first   int
-	// wait is the predicted wait of the first attempt for its permit.
-	wait time.Duration
+	// wait is the predicted wait of the first attempt for its permit, and rest how
+	// long its server, the first one to return, takes no requests. rest is zero
+	// unless all servers rest.
+	wait, rest time.Duration
+	// departing is set if no server takes requests because all are leaving.
+	departing bool
 	// crowded is set if a queue stands at the chosen server, and hopeless if the
 	// leg couldn't be expected to respond in time.
 	crowded, hopeless bool
@@ -54,6 +58,8 @@
 	starved bool
 	// withheld is why a hedge that was due wasn't made; empty if none was due.
 	withheld string
+	// declined is why the last attempt wasn't sent; empty if it was.
+	declined string
 }
 
 func (l *leg) open() bool { return !l.done && l.inFlight > 0 }
@@ -62,12 +68,18 @@
 	switch {
 	case l.view == nil:
 		return "no server of service " + string(l.id) + " is known"
+	case l.started == 0 && l.departing:
+		return "all servers of service " + string(l.id) + " are leaving"
+	case l.started == 0 && l.rest > 0:
+		return "all servers of service " + string(l.id) + " want no requests, the first for " + l.rest.Round(time.Millisecond).String()
 	case l.started == 0 && l.wait > 0:
 		return "service " + string(l.id) + " is overloaded: a request would wait for " + l.wait.Round(time.Millisecond).String()
 	case l.started == 0 && l.starved:
 		return "the repeat budget of service " + string(l.id) + " is used up"
 	case l.started == 0:
 		return "no server of service " + string(l.id) + " is usable"
+	case l.declined != "":
+		return "service " + string(l.id) + ": " + l.declined
 	case l.inFlight > 0 && l.starved:
 		return "no response of service " + string(l.id) + " in time, and the repeat budget is used up"
 	case l.inFlight > 0 && l.withheld != "":
@@ -90,29 +102,49 @@
 	if l.view == nil {
 		return
 	}
-	offered := l.admitted(l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent))
+	candidates := l.run.forwarder.Servers.Candidates(l.view, l.run.route.Idempotent)
+	l.departing = len(candidates) == 0 && len(l.view.Servers) > 0
+	offered := l.admitted(candidates)
 	index, ok := l.run.forwarder.Selection.Select(offered)
 	if !ok {
-		return
+		if index, ok = firstToReturn(offered); !ok {
+			return
+		}
+		l.rest = offered[index].Rest
 	}
 	l.offered, l.first = offered, index
 	l.wait = l.run.forwarder.Quota.PredictedWait(offered[index].Server.ID)
 	l.crowded = crowded(&offered[index], l.view.Slots)
 }
 
+// firstToReturn returns the index of the server with the shortest rest, or false if
+// there is none.
+func firstToReturn(candidates []ebonyworks.Candidate) (int, bool) {
+	first := -1
+	for i := range candidates {
+		if first < 0 || candidates[i].Rest < candidates[first].Rest {
+			first = i
+		}
+	}
+	return first, first >= 0
+}
+
 // expected reports whether the leg can be expected to respond in time. While many
 // legs wait, a server that reports nothing is taken for crowded.
 func (l *leg) expected(admission *admission) bool {
 	if len(l.offered) == 0 {
 		return false
 	}
+	if l.rest > 0 {
+		return admission.awaits(l.rest + l.wait)
+	}
 	return admission.accepts(l.wait, l.crowded || admission.contended() && l.offered[l.first].Demand == 0)
 }
 
 // startFirst starts the first attempt that prepare chose, and a copy of the
 // request at a server that needs a probe.
 func (l *leg) startFirst(now time.Time) {
-	if len(l.offered) == 0 {
+	if len(l.offered) == 0 || l.rest > 0 && l.hopeless {
 		return
 	}
 	if l.run.repeat && !l.run.forwarder.Repeats.Take(l.id) {
@@ -120,7 +152,7 @@
 		return
 	}
 	l.start(l.offered[l.first], attemptFirst, l.run.repeat)
-	l.scheduleHedge(now)
+	l.scheduleHedge(now.Add(l.rest))
 	for i := range l.offered {
 		if i == l.first || !l.offered[i].Probe || !l.mayStart() || !l.admits(l.offered[i].Server.ID) || !l.hasRoom(&l.offered[i]) {
 			continue
@@ -182,6 +214,7 @@
 func (l *leg) ended(end *attempt, now time.Time) {
 	l.inFlight--
 	l.last = end.record.Result
+	l.declined = end.declined
 	if end.record.Result.ProvesNotRun() {
 		l.share.giveBack(end.candidate.Server.ID)
 	} else {
@@ -294,7 +327,7 @@
 	l.started++
 	l.inFlight++
 	l.run.inFlight++
-	started := &attempt{leg: l, candidate: candidate, kind: kind, charged: charged}
+	started := &attempt{leg: l, candidate: candidate, kind: kind, charged: charged, awaits: candidate.Rest > 0}
 	started.waiting.deadline = l.run.latest
 	l.run.attempts = append(l.run.attempts, started)
 	go started.do()
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -13,6 +13,9 @@
 const (
 	// maxRetryAfter is in the order of the restart of a server.
 	maxRetryAfter = 5 * time.Second
+	// maxRestAdvice bounds the part of the advice that is due to servers that rest.
+	// Others may take their place meanwhile.
+	maxRestAdvice = 30 * time.Second
 	// contendedPart is the part of the legs above which waits and queues are due to
 	// load. It is above the part that answers may lack by the usual bounds of coverage.
 	contendedPart = 0.2
@@ -56,6 +59,10 @@
 // latest returns the longest wait after which an answer can still be had.
 func (q queueing) latest() time.Duration { return q.untilDeadline - q.usual }
 
+// awaits reports whether an attempt starts although its server takes no requests for
+// the given time.
+func (q queueing) awaits(wait time.Duration) bool { return wait <= q.latest() }
+
 // tolerated returns the longest wait at a crowded server. A wait that is no
 // longer than the work itself is tolerated. Where the work takes longer than the
 // target latency, or isn't known, only the deadline counts: callers then prefer a
@@ -106,10 +113,11 @@
 	return candidate.Demand >= crowdedPart*float64(slots)
 }
 
-// retryAfter returns when a refused caller should come back.
-func retryAfter(request ebonyworks.RequestID, wait time.Duration, refused float64) time.Duration {
+// retryAfter returns when a refused caller should come back: after the rest of the
+// servers, and then spread by the wait for permits and the share of refusals.
+func retryAfter(request ebonyworks.RequestID, rest, wait time.Duration, refused float64) time.Duration {
 	chance := float64(xxhash.Sum64String(string(request))%1000) / 1000
-	return min(pressure.ReturnTime(wait, refused, chance), maxRetryAfter)
+	return min(rest, maxRestAdvice) + min(pressure.ReturnTime(wait, refused, chance), maxRetryAfter)
 }
 
 // hasFreeSlot reports whether a second attempt at the server takes a slot that
--- a/coordination/fanout/queueing_test.go
+++ b/coordination/fanout/queueing_test.go
@@ -48,7 +48,7 @@
 		const callers = 1000
 		seen := make(map[time.Duration]int)
 		for i := range callers {
-			after := retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), wait, refused)
+			after := retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), 0, wait, refused)
 			seen[after.Round(pressure.MinReturnTime/10)]++
 			sum += after
 		}
@@ -63,7 +63,7 @@
 	assert.InDelta(t, 4*alone, average(0, 1), float64(alone/10))
 	assert.InDelta(t, 3*alone, average(3*pressure.MinReturnTime, 0), float64(alone/5))
 	for i := range 100 {
-		assert.LessOrEqual(t, retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), time.Hour, 1), maxRetryAfter)
+		assert.LessOrEqual(t, retryAfter(ebonyworks.RequestID(strconv.Itoa(i)), 0, time.Hour, 1), maxRetryAfter)
 	}
 }
 
--- a/coordination/fanout/report.go
+++ b/coordination/fanout/report.go
@@ -93,6 +93,39 @@
 	}
 }
 
+// note explains the end of an attempt for the log, or is empty.
+func (a *attempt) note() string {
+	switch {
+	case !a.ended:
+		return ""
+	case a.declined != "":
+		return a.declined
+	case a.record.Result == ebonyworks.AttemptInvalid:
+		return a.record.Cause
+	case a.record.Report.Leaving:
+		return "says that it is leaving"
+	case a.record.RetryAfter > 0:
+		return "wants no requests for " + a.record.RetryAfter.String()
+	default:
+		return ""
+	}
+}
+
+// departures names the servers that said that they are leaving.
+func (r *run) departures() []ebonyworks.Departure {
+	var departures []ebonyworks.Departure
+	for _, attempt := range r.attempts {
+		if attempt.ended && attempt.record.Report.Leaving {
+			departures = append(departures, ebonyworks.Departure{
+				Server:      attempt.candidate.Server.ID,
+				Incarnation: attempt.record.Report.Incarnation,
+				Leaving:     true,
+			})
+		}
+	}
+	return departures
+}
+
 // latencyMs returns the latency of an attempt that has ended, or zero.
 func (a *attempt) latencyMs() int64 {
 	if !a.ended {
@@ -122,7 +155,7 @@
 	var text strings.Builder
 	listed := 0
 	for _, attempt := range r.attempts {
-		plain := attempt.kind == attemptFirst && attempt.ended && attempt.record.Result == ebonyworks.AttemptServed
+		plain := attempt.kind == attemptFirst && attempt.ended && attempt.record.Result == ebonyworks.AttemptServed && !attempt.record.Report.Leaving
 		if plain && len(r.legs) > 1 {
 			continue
 		}
@@ -135,8 +168,8 @@
 			outcome = attempt.record.Result.String()
 		}
 		fmt.Fprintf(&text, "%s/%s %s %s %dms", attempt.leg.id, attempt.candidate.Server.ID, attempt.kind, outcome, attempt.latencyMs())
-		if attempt.ended && attempt.record.Result == ebonyworks.AttemptInvalid {
-			fmt.Fprintf(&text, " (%s)", attempt.record.Cause)
+		if note := attempt.note(); note != "" {
+			fmt.Fprintf(&text, " (%s)", note)
 		}
 		text.WriteString("; ")
 	}
--- /dev/null
+++ b/coordination/fanout/rest_test.go
@@ -0,0 +1,153 @@
+package fanout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+)
+
+// restSlack is how long after its refusal a server may still get requests that were
+// on their way.
+const restSlack = 500 * time.Millisecond
+
+// restingFleet is a fleet whose servers refuse all requests for a time and say so.
+type restingFleet struct {
+	*fleet
+	// restFrom and restUntil bound the time.
+	restFrom, restUntil time.Time
+	// told is when each server first refused a request of each host, and reached
+	// counts the requests that reached it from there after restSlack.
+	told    map[restKey]time.Time
+	reached map[restKey]int
+}
+
+type restKey struct {
+	host   int
+	server ebonyworks.ServerID
+}
+
+// restingHost is the backend of one host.
+type restingHost struct {
+	*restingFleet
+	host int
+}
+
+func newRestingFleet(t *testing.T) *restingFleet {
+	t.Helper()
+	f := &restingFleet{fleet: newFleet(t), told: make(map[restKey]time.Time), reached: make(map[restKey]int)}
+	for i := range f.hosts {
+		f.hosts[i] = f.forwarder(restingHost{f, i}, f.Table, rand.New(rand.NewPCG(uint64(i), 5)), fleetHosts, fleetHosts)
+	}
+	time.Sleep(repeatBound.Window)
+	return f
+}
+
+// Send refuses the request while the servers rest.
+func (h restingHost) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+	now := time.Now()
+	if now.Before(h.restFrom) || !now.Before(h.restUntil) {
+		return h.fleet.Send(ctx, to, request, deadline)
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	key := restKey{h.host, to.ID}
+	if h.told[key].IsZero() {
+		h.told[key] = now
+	}
+	if now.Sub(h.told[key]) > restSlack {
+		h.reached[key]++
+	}
+	return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: h.restUntil.Sub(now)}
+}
+
+// outcome counts the ends of callers' requests.
+type outcome struct {
+	asked, inTime, late, refused int
+	// held is how long callers waited for a refusal.
+	held time.Duration
+}
+
+// credit returns the mean worth of the requests; a late answer is worth little.
+func (o *outcome) credit() float64 {
+	const lateWorth = 0.1
+	return (float64(o.inTime) + lateWorth*float64(o.late)) / float64(o.asked)
+}
+
+// ask sends requests to the single service at the rate. Callers who are refused come
+// back once, as they are told, after a third of their time at most.
+func (f *restingFleet) ask(perSecond int, length time.Duration) *outcome {
+	ends := &outcome{}
+	var asking sync.WaitGroup
+	interval := time.Second / time.Duration(perSecond)
+	for i := range int(length / interval) {
+		time.Sleep(interval)
+		asking.Go(func() {
+			begin := time.Now()
+			var reply ebonyworks.ForwardReply
+			for try := range 2 {
+				id := fmt.Sprintf("one-%d-%d", i, try)
+				sent := time.Now()
+				reply = f.hosts[(i+try)%len(f.hosts)].Forward(context.Background(), &ebonyworks.ForwardRequest{
+					ID: ebonyworks.RequestID(id), Host: "h", Method: "GET", Target: "/one/" + id, Arrival: sent, Patience: begin.Add(timeout).Sub(sent),
+				})
+				if reply.Kind != ebonyworks.ReplyRefused {
+					break
+				}
+				f.mutex.Lock()
+				ends.held += time.Since(sent)
+				f.mutex.Unlock()
+				left := time.Until(begin.Add(timeout))
+				time.Sleep(min(reply.RetryAfter, left/3))
+			}
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			ends.asked++
+			switch {
+			case reply.Kind != ebonyworks.ReplyRelayed:
+				ends.refused++
+			case time.Since(begin) <= target:
+				ends.inTime++
+			default:
+				ends.late++
+			}
+		})
+	}
+	asking.Wait()
+	return ends
+}
+
+// Measures what callers get while all servers of a service rest, by the length of
+// the rest and the load.
+func TestLoadOnRestingService(t *testing.T) {
+	for _, load := range []int{100, 240, 380} {
+		for _, rest := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%d/%s", load, rest), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRestingFleet(t)
+					f.ask(load, 2*time.Second)
+					f.restFrom = time.Now()
+					f.restUntil = f.restFrom.Add(rest)
+					during := f.ask(load, rest)
+					after := f.ask(load, time.Second)
+					t.Logf("during: credit %.2f of %d, in time %d, late %d, refused %d, held %s; after: credit %.2f, refused %d",
+						during.credit(), during.asked, during.inTime, during.late, during.refused, during.held/time.Duration(max(during.asked, 1)), after.credit(), after.refused)
+					for key, count := range f.reached {
+						assert.LessOrEqual(t, count, 2, "%v", key)
+					}
+				})
+			})
+		}
+	}
+}
+
+var _ ebonyworks.ForwardBackend = restingHost{}
+var _ fanout.Observer = (*restingFleet)(nil)
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -375,7 +376,7 @@
 func (r *run) unanswered(now time.Time) ebonyworks.ForwardReply {
 	if r.abandonUnsent() {
 		r.admission.refused = r.forwarder.Precedence.Refused(r.legs[0].id, r.route.Priority)
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.longestWait(), r.admission.refused)}
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.rest(), r.longestWait(), r.admission.refused)}
 	}
 	if !now.Before(r.deadline) {
 		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyTimeout, Reason: r.reason()}
@@ -383,6 +384,16 @@
 	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: r.reason()}
 }
 
+// rest returns the time after which enough legs have a server that takes requests.
+func (r *run) rest() time.Duration {
+	rests := make([]time.Duration, len(r.legs))
+	for i, leg := range r.legs {
+		rests[i] = leg.rest
+	}
+	slices.Sort(rests)
+	return rests[r.seal.needed-1]
+}
+
 // longestWait returns the longest predicted wait of the legs.
 func (r *run) longestWait() time.Duration {
 	var longest time.Duration
--- a/coordination/fanout/share.go
+++ b/coordination/fanout/share.go
@@ -73,17 +73,18 @@
 func (f *Forwarder) fallbacks(request *ebonyworks.ForwardRequest, route *routing.Route) []ebonyworks.ServerTag {
 	seed := xxhash.Sum64String(string(request.ID))
 	tags := make([]ebonyworks.ServerTag, len(route.Shards))
+	avoided := f.Servers.Avoided()
 	for i, shard := range route.Shards {
 		if view := f.Directory.Service(shard); view != nil {
-			tags[i] = fallback(view, f.Domain, seed)
+			tags[i] = fallback(view, f.Domain, avoided, seed)
 		}
 	}
 	return tags
 }
 
-// fallback returns the tag of a server, or zero if tags don't tell the servers
-// apart.
-func fallback(view *ebonyworks.Service, domain ebonyworks.DomainID, seed uint64) ebonyworks.ServerTag {
+// fallback returns the tag of a server that isn't avoided, or zero if there is none
+// or tags don't tell the servers apart.
+func fallback(view *ebonyworks.Service, domain ebonyworks.DomainID, avoided map[ebonyworks.ServerID]bool, seed uint64) ebonyworks.ServerTag {
 	var chosen ebonyworks.ServerTag
 	var best uint64
 	near, ambiguous := false, false
@@ -93,6 +94,7 @@
 		score := mix(seed, tag)
 		isNear := server.Domain == domain
 		switch {
+		case avoided[server.ID]:
 		case tag == chosen:
 			ambiguous = true
 		case chosen == 0 || isNear && !near || isNear == near && score > best:
--- a/coordination/fanout/use.go
+++ b/coordination/fanout/use.go
@@ -83,6 +83,22 @@
 	return u.err
 }
 
+// sleep waits for the time. It returns false at once if the use ends before, and
+// otherwise if it ends meanwhile.
+func (u *use) sleep(length time.Duration) bool {
+	if deadline, ok := u.Deadline(); ok && time.Until(deadline) <= length {
+		return false
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return u.Err() == nil
+	case <-u.Done():
+		return false
+	}
+}
+
 // Value returns nothing: no values belong to an attempt.
 func (u *use) Value(any) any { return nil }
 
--- /dev/null
+++ b/coordination/fanout/withdrawal_test.go
@@ -0,0 +1,449 @@
+package fanout_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/delegation"
+	"github.com/ebonyworks/ebonyworks/coordination/fanout"
+	"github.com/ebonyworks/ebonyworks/coordination/quota"
+	"github.com/ebonyworks/ebonyworks/coordination/selection"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+// drainTime is the time after which a server that said that it is leaving gets no
+// more requests.
+const drainTime = 3 * time.Second
+
+// withdrawal is what a server says about the requests that it wants.
+type withdrawal struct {
+	leaving bool
+	// rest is until when it refuses requests and wants none.
+	rest time.Time
+	// born is the server's incarnation.
+	born ebonyworks.Incarnation
+}
+
+// host is one host of a withdrawalWorld.
+type host struct {
+	*fanout.Forwarder
+	register *register.Register
+}
+
+// withdrawalWorld is two hosts, of which the smaller one delegates to the larger, in
+// front of servers that leave, rest and restart.
+type withdrawalWorld struct {
+	*world
+	small, large host
+	random       *rand.Rand
+
+	state map[ebonyworks.ServerID]*withdrawal
+	// refused holds when a server asked a host for a rest, and until when.
+	refused []refusal
+	// passed is when a host first passed on that a life of a server leaves.
+	passed map[lifeAt]time.Time
+	// visits are the requests that reached servers.
+	visits []visit
+	// sentAt is when a caller sent the request.
+	sentAt map[ebonyworks.RequestID]time.Time
+}
+
+type lifeAt struct {
+	host   string
+	server ebonyworks.ServerID
+	born   ebonyworks.Incarnation
+}
+
+type refusal struct {
+	lifeAt
+	at, until time.Time
+}
+
+type visit struct {
+	lifeAt
+	at   time.Time
+	sent time.Time
+}
+
+// endpoint is the backend of one host.
+type endpoint struct {
+	*withdrawalWorld
+	name string
+}
+
+// Send reaches the server after the way there, and at times late, as from a host
+// that stands still after it has decided to send.
+func (e endpoint) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+	e.mutex.Lock()
+	way := time.Millisecond
+	if e.random.IntN(30) == 0 {
+		way += time.Duration(e.random.Int64N(int64(restSlack / 2)))
+	}
+	slow := e.random.IntN(15) == 0
+	e.mutex.Unlock()
+	time.Sleep(way)
+	e.mutex.Lock()
+	state := *e.state[to.ID]
+	now := time.Now()
+	at := lifeAt{e.name, to.ID, state.born}
+	e.visits = append(e.visits, visit{at, now, e.sentAt[request.ID]})
+	if now.Before(state.rest) {
+		e.refused = append(e.refused, refusal{at, now, state.rest})
+		e.mutex.Unlock()
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: state.rest.Sub(now), Report: ebonyworks.ServerReport{Leaving: state.leaving}}
+	}
+	e.mutex.Unlock()
+	work := usual
+	if slow {
+		work = 4 * target
+	}
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptCancelled}
+	case <-time.After(time.Until(deadline)):
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptTimeout}
+	}
+	return ebonyworks.ForwardAttempt{
+		Result: ebonyworks.AttemptServed,
+		Report: ebonyworks.ServerReport{Leaving: state.leaving},
+		Response: ebonyworks.ServerResponse{
+			Status: 200, Body: make([]byte, 16),
+			Signature: fmt.Sprintf("%s %d %t", to.ID, state.born, state.leaving),
+		},
+	}
+}
+
+func newWithdrawalWorld(t *testing.T, seed uint64) *withdrawalWorld {
+	t.Helper()
+	w := &withdrawalWorld{
+		world:  newWorld(t),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		state:  make(map[ebonyworks.ServerID]*withdrawal),
+		passed: make(map[lifeAt]time.Time),
+		sentAt: make(map[ebonyworks.RequestID]time.Time),
+	}
+	for i := range shardCount {
+		for _, replica := range []string{"a", "b"} {
+			w.state[server(i, replica)] = &withdrawal{born: 1}
+		}
+	}
+	w.large = w.host("large", seed)
+	w.small = w.host("small", seed)
+	w.small.Domain = "b"
+	w.small.Delegation = &delegation.Delegator{
+		Self:      ebonyworks.Host{ID: "small", Domain: "b", Capacity: 0.2},
+		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
+		Peer:      &link{larger: w.large.Forwarder, random: rand.New(rand.NewPCG(seed, 6))},
+		Selection: &selection.Selector{},
+		Register:  &register.Register{ProbeByRequest: true},
+		Departed:  w.small.register.Announce,
+	}
+	time.Sleep(repeatBound.Window)
+	return w
+}
+
+func (w *withdrawalWorld) host(name string, seed uint64) host {
+	known := servers{
+		register: &register.Register{ProbeByRequest: true, LeavingGrace: drainTime / 3, Random: rand.New(rand.NewPCG(seed, 9))},
+		quota:    quota.NewExclusive(8),
+	}
+	forwarder := w.forwarder(endpoint{w, name}, w.Table, rand.New(rand.NewPCG(seed, uint64(len(name)))), 8, 1)
+	forwarder.Servers, forwarder.Quota, forwarder.Inspection = known, known.quota, nil
+	for id := range w.state {
+		known.register.Depart(ebonyworks.Departure{Server: id, Incarnation: 1})
+	}
+	return host{forwarder, known.register}
+}
+
+// send asks a host for all shards and notes who is said to be leaving.
+func (w *withdrawalWorld) send(name string, of host, id ebonyworks.RequestID) {
+	w.mutex.Lock()
+	w.sentAt[id] = time.Now()
+	w.mutex.Unlock()
+	reply := of.Forward(context.Background(), &ebonyworks.ForwardRequest{
+		ID: id, Host: "h", Method: "GET", Target: "/all/" + string(id), Arrival: time.Now(), Patience: timeout,
+	})
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, signature := range reply.Signatures {
+		var server ebonyworks.ServerID
+		var born ebonyworks.Incarnation
+		var leaving bool
+		_, _ = fmt.Sscanf(signature, "%s %d %t", &server, &born, &leaving)
+		at := lifeAt{name, server, born}
+		if leaving && w.passed[at].IsZero() {
+			w.passed[at] = time.Now()
+		}
+	}
+}
+
+// disturb makes some server leave, rest or start again. The hosts learn of a new
+// life from the store, each a little later, and of its lapsed entry at times.
+func (w *withdrawalWorld) disturb() {
+	w.mutex.Lock()
+	id := server(w.random.IntN(shardCount), []string{"a", "b"}[w.random.IntN(2)])
+	state := w.state[id]
+	switch w.random.IntN(5) {
+	case 0, 1:
+		state.leaving = true
+	case 2, 3:
+		state.rest = time.Now().Add(200*time.Millisecond + time.Duration(w.random.Int64N(int64(4*time.Second))))
+	default:
+		state.born++
+		state.leaving, state.rest = false, time.Time{}
+	}
+	born := state.born
+	lapses := w.random.IntN(3) == 0
+	later := [2]time.Duration{time.Duration(w.random.Int64N(int64(time.Second))), time.Duration(w.random.Int64N(int64(time.Second)))}
+	w.mutex.Unlock()
+	for i, of := range []host{w.small, w.large} {
+		time.AfterFunc(later[i], func() {
+			if lapses {
+				named := w.directory.Servers()
+				delete(named, id)
+				of.register.RetainServers(named)
+				of.register.RetainServers(w.directory.Servers())
+			}
+			of.register.Depart(ebonyworks.Departure{Server: id, Incarnation: born})
+			// The store's older reading, and a peer's message about the life before.
+			of.register.Depart(ebonyworks.Departure{Server: id, Incarnation: born - 1})
+			of.register.Announce(ebonyworks.Departure{Server: id, Incarnation: born - 1, Leaving: true})
+		})
+	}
+}
+
+// Guards against requests to servers that said that they are leaving or that they
+// want none, from the host that was told, whatever is delegated, late, lost, restarted
+// or frozen meanwhile.
+func TestWithdrawnServersGetNoRequests(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWithdrawalWorld(t, seed)
+				var asking sync.WaitGroup
+				for i := range 800 {
+					if i%12 == 0 {
+						w.disturb()
+					}
+					asking.Go(func() { w.send("small", w.small, ebonyworks.RequestID(fmt.Sprintf("small-%d", i))) })
+					asking.Go(func() { w.send("large", w.large, ebonyworks.RequestID(fmt.Sprintf("large-%d", i))) })
+					time.Sleep(15 * time.Millisecond)
+				}
+				asking.Wait()
+				time.Sleep(time.Minute)
+				w.checkDrain(t)
+				w.checkRests(t)
+			})
+		})
+	}
+}
+
+func (w *withdrawalWorld) checkDrain(t *testing.T) {
+	late := 0
+	for _, one := range w.visits {
+		if told := w.passed[one.lifeAt]; !told.IsZero() && one.sent.After(told.Add(drainTime)) {
+			late++
+		}
+	}
+	assert.Zero(t, late, "requests that reached servers that had left")
+	assert.NotEmpty(t, w.passed)
+}
+
+func (w *withdrawalWorld) checkRests(t *testing.T) {
+	for _, asked := range w.refused {
+		count := 0
+		for _, one := range w.visits {
+			if one.lifeAt == asked.lifeAt && one.at.After(asked.at.Add(restSlack)) && one.at.Before(asked.until) {
+				count++
+			}
+		}
+		assert.LessOrEqual(t, count, 2, "%v", asked)
+	}
+	assert.NotEmpty(t, w.refused)
+}
+
+// Guards against a server that stays away after it was started again, because a late
+// response of its earlier life says that it is leaving or wants no requests.
+func TestRestartedServerReturns(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		ends ebonyworks.ForwardAttempt
+	}{
+		{"leaving", ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptFailed, Report: ebonyworks.ServerReport{Leaving: true}, Response: ebonyworks.ServerResponse{Status: 500, Signature: "s"}}},
+		{"rests for a week", ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: register.MaxRest}},
+	} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/late=%t", test.name, late), func(t *testing.T) {
+				bubble(t, func(t *testing.T, w *world) {
+					known := servers{register: &register.Register{ProbeByRequest: true}, quota: quota.NewExclusive(8)}
+					w.Servers, w.Quota = known, known.quota
+					for _, replica := range []string{"a", "b"} {
+						known.register.Depart(ebonyworks.Departure{Server: server(0, replica), Incarnation: 1})
+					}
+					w.Backend = scripted{w, func() (ebonyworks.ForwardAttempt, time.Duration) { return test.ends, usual }}
+					go w.ask("/one/first")
+					go w.ask("/one/second")
+					if late {
+						time.Sleep(usual / 2)
+						w.Backend = w
+						w.restart(known.register)
+						time.Sleep(timeout)
+					} else {
+						time.Sleep(timeout)
+						reply, elapsed := w.ask("/one/third")
+						assert.Equal(t, ebonyworks.ReplyRefused, reply.Kind)
+						assert.Zero(t, elapsed, "refused at once")
+						w.Backend = w
+						w.restart(known.register)
+					}
+					reply, _ := w.ask("/one/fourth")
+					assert.Equal(t, ebonyworks.ReplyRelayed, reply.Kind, reply.Reason)
+					for _, replica := range []string{"a", "b"} {
+						assert.True(t, known.register.Clearance(server(0, replica)).Granted(), replica)
+					}
+				})
+			})
+		}
+	}
+}
+
+// restart tells the register of a new life of both servers of shard 0.
+func (w *world) restart(known *register.Register) {
+	for _, replica := range []string{"a", "b"} {
+		known.Depart(ebonyworks.Departure{Server: server(0, replica), Incarnation: 2})
+	}
+}
+
+// scripted answers each request alike.
+type scripted struct {
+	*world
+	answer func() (ebonyworks.ForwardAttempt, time.Duration)
+}
+
+func (s scripted) Send(context.Context, ebonyworks.Server, *ebonyworks.ForwardRequest, time.Time) ebonyworks.ForwardAttempt {
+	ends, takes := s.answer()
+	time.Sleep(takes)
+	return ends
+}
+
+// Guards against a shard that is lost at once because all its servers say that they
+// are leaving, and against requests to them after that.
+func TestLeavingServersServeUntilReplaced(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		known := servers{register: &register.Register{ProbeByRequest: true, LeavingGrace: drainTime / 3}, quota: quota.NewExclusive(8)}
+		w.Servers, w.Quota = known, known.quota
+		leaving := ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptServed, Report: ebonyworks.ServerReport{Leaving: true}, Response: ebonyworks.ServerResponse{Status: 200, Signature: "s"}}
+		w.Backend = scripted{w, func() (ebonyworks.ForwardAttempt, time.Duration) { return leaving, usual }}
+		begin := time.Now()
+		for i := range 100 {
+			reply, elapsed := w.ask(fmt.Sprintf("/one/%d", i))
+			switch since := time.Since(begin); {
+			case since < drainTime/3:
+				assert.Equal(t, ebonyworks.ReplyRelayed, reply.Kind, since)
+			case since > drainTime*2/3:
+				assert.Equal(t, ebonyworks.ReplyRefused, reply.Kind, since)
+				assert.Equal(t, "all servers of service shard-00 are leaving", reply.Reason)
+				assert.Zero(t, elapsed)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a merged answer that waits for, or is refused because of, a shard
+// whose servers want no requests, if the route can do without it.
+func TestMergedAnswerLeavesOutRestingShard(t *testing.T) {
+	for _, test := range []struct {
+		rest    time.Duration
+		missing int
+	}{{4 * time.Second, 1}, {30 * time.Millisecond, 0}} {
+		t.Run(test.rest.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T, w *world) {
+				w.warmUp()
+				for _, replica := range []string{"a", "b"} {
+					w.Servers.Observe(ebonyworks.AttemptRecord{Service: shard(3), Server: server(3, replica), Result: ebonyworks.AttemptShed, RetryAfter: test.rest})
+				}
+				reply, elapsed := w.ask("/all/1")
+				assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
+				assert.Equal(t, test.missing, reply.Missing)
+				assert.LessOrEqual(t, elapsed, target)
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
+				if test.missing > 0 {
+					assert.Contains(t, w.reports[len(w.reports)-1].Missed, "all servers of service shard-03 want no requests, the first for 4")
+				}
+			})
+		})
+	}
+}
+
+// Guards against fallbacks that can't be used: a larger host that gives no answer
+// then costs the part.
+func TestFallbackTakesRequests(t *testing.T) {
+	bubble(t, func(t *testing.T, w *world) {
+		w.Domain = "a"
+		w.Servers.Observe(ebonyworks.AttemptRecord{Service: shard(0), Server: server(0, "a"), Result: ebonyworks.AttemptShed, RetryAfter: 4 * time.Second})
+		w.Delegation = &delegation.Delegator{
+			Self:      ebonyworks.Host{ID: "small", Domain: "a", Capacity: 0.2},
+			Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
+			Peer:      lostPeer{},
+			Selection: &selection.Selector{},
+			Register:  &register.Register{ProbeByRequest: true},
+		}
+		reply, _ := w.ask("/all/1")
+		assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
+		assert.Zero(t, reply.Missing)
+		assert.True(t, strings.HasPrefix(reply.Signatures[0], "of-shard-00-b"))
+	})
+}
+
+// lostPeer loses each request.
+type lostPeer struct{}
+
+func (lostPeer) Forward(context.Context, ebonyworks.Host, *ebonyworks.ForwardRequest, ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+	return ebonyworks.ForwardReply{}, ebonyworks.DeliveryUnknown
+}
+
+// soundPeer runs each request on the larger host.
+type soundPeer struct{ larger *fanout.Forwarder }
+
+func (p soundPeer) Forward(ctx context.Context, _ ebonyworks.Host, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+	copied := *request
+	reply, _ := p.larger.ForwardFor(ctx, &copied, terms)
+	return reply, ebonyworks.Delivered
+}
+
+// Guards against a smaller host that passes on what a larger one learned of a
+// leaving server, and sends that server requests of its own later.
+func TestDelegatedReplyTellsWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWithdrawalWorld(t, 1)
+		delegator := w.small.Delegation.(*delegation.Delegator)
+		delegator.Peer = soundPeer{w.large.Forwarder}
+		// Both hosts prefer the same servers.
+		w.small.Domain = "a"
+		for _, replica := range []string{"a", "b"} {
+			w.state[server(7, replica)].leaving = true
+		}
+		w.send("small", w.small, "first")
+		delegator.Peer = lostPeer{}
+		time.Sleep(drainTime)
+		w.send("small", w.small, "second")
+		assert.NotEmpty(t, w.passed)
+		for _, one := range w.visits {
+			told := w.passed[one.lifeAt]
+			assert.False(t, !told.IsZero() && one.at.After(told), "%s to %s", one.host, one.server)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/coordination/fanout/world_test.go
+++ b/coordination/fanout/world_test.go
@@ -77,6 +77,12 @@
 	return s.register.Candidates(service, route, "a", s.quota)
 }
 
+func (s servers) Clearance(server ebonyworks.ServerID) ebonyworks.Clearance {
+	return s.register.Clearance(server)
+}
+
+func (s servers) Avoided() map[ebonyworks.ServerID]bool { return s.register.Avoided() }
+
 func (s servers) Observe(record ebonyworks.AttemptRecord) { s.register.Observe(record) }
 
 func shard(i int) ebonyworks.ServiceID { return ebonyworks.ServiceID(fmt.Sprintf("shard-%02d", i)) }
--- a/coordination/selection/selection.go
+++ b/coordination/selection/selection.go
@@ -20,8 +20,10 @@
 	// queueFactor multiplies the cost of servers where the attempt would wait
 	// for a permit, since the attempts that wait there already aren't known.
 	queueFactor = 1.5
-	// failingTier is above the tier of servers that work.
+	// failingTier is above the tier of servers that work, and restingTier above
+	// both. No server of it is chosen.
 	failingTier = 1
+	restingTier = 2
 )
 
 // Selector prefers the cheaper of two random servers, by the host's own
@@ -42,15 +44,19 @@
 	return &Selector{random: random}
 }
 
-// Select returns the index of the chosen candidate, or false if there is none.
+// Select returns the index of the chosen candidate, or false if there is none that
+// takes requests.
 //
 // A candidate with a share below 1 takes part in that part of the calls, and
 // otherwise only if nothing else is left. Dividing its cost by the share
 // instead would leave it without any traffic at low load, where the other
 // replica is always cheaper, and then with all of its traffic at once.
 func (s *Selector) Select(candidates []ebonyworks.Candidate) (int, bool) {
-	if len(candidates) < 2 {
-		return 0, len(candidates) == 1
+	if len(candidates) == 1 {
+		return 0, candidates[0].Rest <= 0
+	}
+	if !anyTakesRequests(candidates) {
+		return 0, false
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -188,7 +194,20 @@
 	return sum / float64(known)
 }
 
+// anyTakesRequests reports whether at least one server doesn't rest.
+func anyTakesRequests(candidates []ebonyworks.Candidate) bool {
+	for i := range candidates {
+		if candidates[i].Rest <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func tierOf(candidate *ebonyworks.Candidate) int {
+	if candidate.Rest > 0 {
+		return restingTier
+	}
 	if candidate.Failing {
 		return failingTier
 	}
--- a/forwarding.go
+++ b/forwarding.go
@@ -188,6 +188,9 @@
 	RetryAfter time.Duration
 	// Reason explains a reply without a server's response.
 	Reason string
+	// Departures names servers that said in a response to this request that they
+	// are leaving. The host that passes the reply on sends them nothing more.
+	Departures []Departure
 }
 
 // Forwarder answers opaque requests.
@@ -203,7 +206,11 @@
 	// Response is complete if Result is AttemptServed or AttemptFailed.
 	Response ServerResponse
 	Report   ServerReport
-	// Cause explains an attempt without a usable response, for the log.
+	// RetryAfter is how long a refusing server wants no request of this host; zero
+	// if it didn't say.
+	RetryAfter time.Duration
+	// Cause explains an attempt without a usable response, or a part of one that
+	// isn't used, for the log.
 	Cause string
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// counts of the hosts.
 	tidyInterval  = 500 * time.Millisecond
 	countInterval = 150 * time.Millisecond
+	// gracePart is the part of the time in which a leaving server has to be without
+	// new work for which it may still get requests that no other server takes.
+	gracePart = 3
 	// farFactor lets a far server have an attempt only if the near one has at
 	// least two in flight or is that much slower.
 	farFactor = 2.5
@@ -74,6 +77,9 @@
 	// ApplyTime is the time in which changes of the store have to be in force.
 	// Zero means three seconds.
 	ApplyTime time.Duration
+	// DrainTime is the time after which a server that said that it is leaving gets
+	// no more requests. Zero means at once.
+	DrainTime time.Duration
 	Recorder  ebonyworks.Recorder
 	Observer  fanout.Observer
 	// Seed makes the random choices reproducible.
@@ -119,9 +125,14 @@
 func New(options Options) *Gateway {
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	g := &Gateway{
-		options:    options,
-		directory:  &directory.Directory{},
-		register:   &register.Register{Random: random(registerStream), Recorder: options.Recorder, ProbeByRequest: true},
+		options:   options,
+		directory: &directory.Directory{},
+		register: &register.Register{
+			Random:         random(registerStream),
+			Recorder:       options.Recorder,
+			ProbeByRequest: true,
+			LeavingGrace:   options.DrainTime / gracePart,
+		},
 		quota:      quota.NewExclusive(assumedHosts),
 		repeats:    allowance.New(options.Repeats, assumedHosts),
 		delays:     &delay.Estimator{},
@@ -186,6 +197,7 @@
 			Peer:      options.ForwardPeer,
 			Selection: selection.New(random(delegationStream)),
 			Register:  &register.Register{Random: random(hostsStream), ProbeByRequest: true},
+			Departed:  g.register.Announce,
 			Recorder:  options.Recorder,
 		}
 	}
@@ -323,5 +335,13 @@
 	return candidates
 }
 
+// Clearance tells whether the server may be sent a request now.
+func (s servers) Clearance(server ebonyworks.ServerID) ebonyworks.Clearance {
+	return s.gateway.register.Clearance(server)
+}
+
+// Avoided returns the servers that get no request now, or nil if there are none.
+func (s servers) Avoided() map[ebonyworks.ServerID]bool { return s.gateway.register.Avoided() }
+
 // Observe learns from an ended attempt.
 func (s servers) Observe(record ebonyworks.AttemptRecord) { s.gateway.register.Observe(record) }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -12,7 +13,7 @@
 
 // Measure creates the instruments of the host's own state. It is called once.
 func (g *Gateway) Measure(meter metric.Meter) error {
-	var failures [8]error
+	var failures [9]error
 	revision, err := meter.Int64ObservableGauge(instrument.Revision)
 	failures[0] = err
 	ready, err := meter.Int64ObservableGauge(instrument.Ready)
@@ -29,6 +30,8 @@
 	failures[6] = err
 	storeCalls, err := meter.Int64ObservableCounter(instrument.StoreCalls)
 	failures[7] = err
+	withdrawn, err := meter.Int64ObservableGauge(instrument.Withdrawn)
+	failures[8] = err
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create the gateway's instruments")
 	}
@@ -45,14 +48,21 @@
 		}
 		out.ObserveInt64(storeRead, instrument.Flag(g.upstream.Reads()))
 		out.ObserveInt64(storeCalls, int64(g.upstream.Calls()))
+		leaving, resting := g.register.Withdrawn()
+		out.ObserveInt64(withdrawn, int64(leaving), state("leaving"))
+		out.ObserveInt64(withdrawn, int64(resting), state("resting"))
 		return nil
-	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls)
+	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls, withdrawn)
 	if err != nil {
 		return errors.Wrap(err, "register the gateway's metrics")
 	}
 	return nil
 }
 
+func state(name string) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("state", name))
+}
+
 // revision returns that of the configuration in force, or zero.
 func (g *Gateway) revision() ebonyworks.Revision {
 	table := g.follower.Table()
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -48,15 +48,29 @@
 // AttemptEnded counts an attempt, and logs why a response can't be used.
 func (o *Observer) AttemptEnded(record ebonyworks.AttemptRecord) {
 	o.metrics.AttemptEnded(record)
-	if record.Result != ebonyworks.AttemptInvalid || !o.isInvalidDue(record.Server, time.Now()) {
+	kind, notable := noteOf(record)
+	if !notable || !o.isInvalidDue(record.Server, time.Now()) {
 		return
 	}
-	o.recorder.Record(event.New(event.ServerReplyInvalid,
+	o.recorder.Record(event.New(kind,
 		event.Attribute("Service", string(record.Service)),
 		event.Attribute("Server", string(record.Server)),
 		event.Attribute("Error", record.Cause)))
 }
 
+// noteOf returns the event of an attempt whose response is invalid or has a part that
+// can't be used as it stands.
+func noteOf(record ebonyworks.AttemptRecord) (ebonyworks.EventID, bool) {
+	switch {
+	case record.Result == ebonyworks.AttemptInvalid:
+		return event.ServerReplyInvalid, true
+	case record.Result == ebonyworks.AttemptShed && record.Cause != "":
+		return event.ServerAdviceInvalid, true
+	default:
+		return 0, false
+	}
+}
+
 // isInvalidDue reports whether an invalid response of the server is logged.
 func (o *Observer) isInvalidDue(server ebonyworks.ServerID, now time.Time) bool {
 	o.mutex.Lock()
--- a/protocol/dispatch/dispatch.go
+++ b/protocol/dispatch/dispatch.go
@@ -47,9 +47,7 @@
 	for _, member := range message.Members {
 		facts.Members = append(facts.Members, encodeMember(member))
 	}
-	for _, departure := range message.Departures {
-		facts.Departures = append(facts.Departures, encodeDeparture(departure))
-	}
+	facts.Departures = encodeDepartures(message.Departures)
 	return facts
 }
 
--- a/protocol/dispatch/forward.go
+++ b/protocol/dispatch/forward.go
@@ -63,6 +63,7 @@
 		Records:                reply.Records,
 		RetryAfterMilliseconds: milliseconds(reply.RetryAfter),
 		Reason:                 reply.Reason,
+		Departures:             encodeDepartures(reply.Departures),
 	}
 }
 
@@ -84,9 +85,33 @@
 		Records:    wire.GetRecords(),
 		RetryAfter: relative(int64(min(wire.GetRetryAfterMilliseconds(), math.MaxInt32)), time.Millisecond),
 		Reason:     wire.GetReason(),
+		Departures: decodeDepartures(wire.GetDepartures()),
 	}, true
 }
 
+func encodeDepartures(departures []ebonyworks.Departure) []*peerv1.Departure {
+	encoded := make([]*peerv1.Departure, 0, len(departures))
+	for _, departure := range departures {
+		encoded = append(encoded, encodeDeparture(departure))
+	}
+	return encoded
+}
+
+// decodeDepartures leaves out what names no server.
+func decodeDepartures(wire []*peerv1.Departure) []ebonyworks.Departure {
+	var departures []ebonyworks.Departure
+	for _, fact := range wire[:min(len(wire), maxReplyDepartures)] {
+		if departure, err := decodeDeparture(fact); err == nil {
+			departures = append(departures, departure)
+		}
+	}
+	return departures
+}
+
+// maxReplyDepartures bounds the servers that a reply names: more than a request has
+// attempts.
+const maxReplyDepartures = 4096
+
 // encodeTags returns the tags in little-endian order.
 func encodeTags(tags []ebonyworks.ServerTag) []byte {
 	encoded := make([]byte, 0, tagBytes*len(tags))
--- a/state/register/candidates.go
+++ b/state/register/candidates.go
@@ -8,8 +8,9 @@
 )
 
 // Candidates returns the servers of the service that the route may use and
-// that aren't leaving, in the order of the configuration. The quota supplies
-// the attempts in flight; nil means none.
+// that aren't leaving, in the order of the configuration; those that rest say for
+// how long. If none of them takes requests, servers that have just begun to leave
+// follow. The quota supplies the attempts in flight; nil means none.
 //
 // A server that is far slower than another replica keeps its latency until
 // probes show that it has recovered, while that of other servers decays. It
@@ -60,10 +61,15 @@
 // jitter returns a duration between half and one and a half times the given
 // one, so that hosts don't probe a returning server at the same moment.
 func (r *Register) jitter(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * (0.5 + r.chance()))
+}
+
+// chance returns a random number from 0 to 1.
+func (r *Register) chance() float64 {
 	if r.Random == nil {
 		r.Random = mathrand.New(mathrand.NewPCG(1, 2))
 	}
-	return time.Duration(float64(interval) * (0.5 + r.Random.Float64()))
+	return r.Random.Float64()
 }
 
 func (r *Register) appendUsable(
@@ -85,6 +91,7 @@
 	}
 	best := bestTypical(service, route, records)
 	explores := mayProbe && r.ProbeByRequest && degraded(best, records)
+	spare := r.LeavingGrace > 0
 	for i, server := range service.Servers {
 		known := records[i]
 		if !route.Allows(server.Domain) || (known != nil && known.leaving) {
@@ -95,11 +102,20 @@
 			r.compare(known, best, now)
 			r.describe(known, &candidate, mayProbe, now)
 		}
-		if explores && (known == nil || known.typical == 0) && r.takeTrial(server.ID, now) {
+		if explores && candidate.Rest == 0 && (known == nil || known.typical == 0) && r.takeTrial(server.ID, now) {
 			candidate.Probe = true
 		}
+		spare = spare && candidate.Rest > 0
 		candidates = append(candidates, candidate)
 	}
+	if !spare {
+		return candidates
+	}
+	for i, server := range service.Servers {
+		if known := records[i]; known != nil && known.leaving && route.Allows(server.Domain) && r.mayStillServe(known, now) {
+			candidates = append(candidates, ebonyworks.Candidate{Server: server, Incarnation: known.incarnation, Near: server.Domain == near, Share: 1})
+		}
+	}
 	return candidates
 }
 
@@ -134,7 +150,7 @@
 // takeTrial reports whether a server without samples is due for a probe.
 func (r *Register) takeTrial(id ebonyworks.ServerID, now time.Time) bool {
 	known := r.open(id)
-	if known == nil || known.failing() || known.leaving || now.Before(known.nextProbe) {
+	if known == nil || known.failing() || known.leaving || known.rest(now) > 0 || now.Before(known.nextProbe) {
 		return false
 	}
 	known.nextProbe = now.Add(r.jitter(firstSlowInterval))
@@ -161,6 +177,7 @@
 
 func (r *Register) describe(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
 	candidate.Incarnation = known.incarnation
+	candidate.Rest = known.rest(now)
 	candidate.Latency = known.decayed(now)
 	if known.slow {
 		// The advantage of being near is a small part of a straggler's latency
@@ -175,6 +192,9 @@
 		candidate.Demand = known.demand
 	}
 	candidate.Failing = known.failing()
+	if candidate.Rest > 0 {
+		return
+	}
 	if known.slow && !candidate.Failing && mayProbe && r.takeProbe(known, now) {
 		known.offer(candidate)
 	}
@@ -202,6 +222,9 @@
 }
 
 func (r *Register) takeStatus(known *record, now time.Time) bool {
+	if known.rest(now) > 0 {
+		return false
+	}
 	if known.failing() {
 		return r.takeProbe(known, now)
 	}
--- /dev/null
+++ b/state/register/farewell.go
@@ -0,0 +1,166 @@
+package register
+
+import (
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+const (
+	// MaxRest bounds how long a server rests. One that wants no work for longer
+	// leaves; a new incarnation ends the rest.
+	MaxRest = 7 * 24 * time.Hour
+	// returnSpread is the part of a rest, and maxReturnSpread the time, within which
+	// the hosts return to the server, so that they don't return at one moment.
+	returnSpread    = 0.25
+	maxReturnSpread = 500 * time.Millisecond
+	// maxFarewells bounds the servers that are remembered without a registration.
+	maxFarewells = 4096
+)
+
+// farewell is what one incarnation of a server said about the requests that it
+// wants. It outlives the server's record: a registration that lapses and comes back
+// is no new incarnation.
+type farewell struct {
+	incarnation ebonyworks.Incarnation
+	announced   time.Time
+	restUntil   time.Time
+	// at is when the registration went.
+	at time.Time
+}
+
+// Announce learns that the server itself said that it is leaving, in a response
+// that a peer passed on.
+func (r *Register) Announce(departure ebonyworks.Departure) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.open(departure.Server)
+	if known == nil || !departure.Leaving || departure.Incarnation < known.incarnation {
+		return
+	}
+	now := time.Now()
+	r.learnIncarnation(known, departure, now)
+	known.announce(now)
+}
+
+// Clearance tells whether the server may be sent a request now.
+func (r *Register) Clearance(server ebonyworks.ServerID) ebonyworks.Clearance {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.servers[server]
+	if known == nil {
+		return ebonyworks.Clearance{}
+	}
+	now := time.Now()
+	if known.leaving && !r.mayStillServe(known, now) {
+		return ebonyworks.Clearance{Leaving: true}
+	}
+	return ebonyworks.Clearance{Rest: known.rest(now)}
+}
+
+// Avoided returns the servers that get no request now: they leave or rest. It is nil
+// if there are none.
+func (r *Register) Avoided() map[ebonyworks.ServerID]bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var avoided map[ebonyworks.ServerID]bool
+	for id, known := range r.servers {
+		if !known.leaving && known.rest(now) <= 0 {
+			continue
+		}
+		if avoided == nil {
+			avoided = make(map[ebonyworks.ServerID]bool)
+		}
+		avoided[id] = true
+	}
+	return avoided
+}
+
+// Withdrawn counts the servers that are leaving, and those that rest.
+func (r *Register) Withdrawn() (leaving, resting int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	for _, known := range r.servers {
+		switch {
+		case known.leaving:
+			leaving++
+		case known.rest(now) > 0:
+			resting++
+		}
+	}
+	return leaving, resting
+}
+
+// mayStillServe reports whether a server that is leaving may get requests while no
+// other server takes any. Only its own announcement opens that time.
+func (r *Register) mayStillServe(known *record, now time.Time) bool {
+	return r.LeavingGrace > 0 && !known.announced.IsZero() && now.Sub(known.announced) < r.LeavingGrace && known.rest(now) <= 0
+}
+
+// rest takes the server out for the time. It then returns slowly.
+func (r *Register) rest(known *record, server ebonyworks.ServerID, length time.Duration, now time.Time) {
+	length = min(length, MaxRest)
+	until := now.Add(length)
+	if !until.After(known.restUntil) {
+		return
+	}
+	if known.rest(now) <= 0 {
+		r.record(event.ServerResting, server, event.Attribute("For", length.String()))
+	}
+	spread := min(time.Duration(returnSpread*float64(length)), maxReturnSpread)
+	known.restUntil = until.Add(time.Duration(r.chance() * float64(spread)))
+	known.rampSince = known.restUntil
+	known.rampTime = min(length, RampTime)
+}
+
+// remember keeps what the server said about the requests that it wants.
+func (r *Register) remember(id ebonyworks.ServerID, known *record, now time.Time) {
+	if known.announced.IsZero() && known.rest(now) <= 0 {
+		return
+	}
+	if r.farewells == nil {
+		r.farewells = make(map[ebonyworks.ServerID]farewell)
+	}
+	if len(r.farewells) >= maxFarewells {
+		r.forgetOldest()
+	}
+	r.farewells[id] = farewell{incarnation: known.incarnation, announced: known.announced, restUntil: known.restUntil, at: now}
+}
+
+func (r *Register) forgetOldest() {
+	var oldest ebonyworks.ServerID
+	for id, said := range r.farewells {
+		if oldest == "" || said.at.Before(r.farewells[oldest].at) {
+			oldest = id
+		}
+	}
+	delete(r.farewells, oldest)
+}
+
+// recall gives a new record what the server said while an earlier one was kept.
+func (r *Register) recall(id ebonyworks.ServerID, known *record) {
+	said, found := r.farewells[id]
+	if !found {
+		return
+	}
+	delete(r.farewells, id)
+	known.incarnation = said.incarnation
+	known.announced = said.announced
+	known.leaving = !said.announced.IsZero()
+	known.restUntil = said.restUntil
+}
+
+// announce records that the server itself said that it is leaving.
+func (k *record) announce(now time.Time) {
+	if k.leaving && k.announced.IsZero() {
+		k.announced = now
+	}
+}
+
+// rest returns how long the server still wants no request.
+func (k *record) rest(now time.Time) time.Duration {
+	return max(k.restUntil.Sub(now), 0)
+}
--- /dev/null
+++ b/state/register/farewell_test.go
@@ -0,0 +1,153 @@
+package register_test
+
+import (
+	"fmt"
+	mathrand "math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/state/register"
+)
+
+func shed(rest time.Duration) ebonyworks.AttemptRecord {
+	return ebonyworks.AttemptRecord{Server: "a", Result: ebonyworks.AttemptShed, RetryAfter: rest}
+}
+
+func says(server ebonyworks.ServerID, life ebonyworks.Incarnation) ebonyworks.AttemptRecord {
+	return ebonyworks.AttemptRecord{Server: server, Result: ebonyworks.AttemptServed, Report: ebonyworks.ServerReport{Incarnation: life, Leaving: true}}
+}
+
+// Guards against a rest that is cut short, or doesn't end, and against requests that
+// all come back at its end.
+func TestRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &register.Register{ProbeByRequest: true}
+		r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 1})
+		r.Observe(shed(4 * time.Second))
+		time.Sleep(time.Second)
+		r.Observe(shed(time.Second))
+		candidates := func() ebonyworks.Candidate { return r.Candidates(service, searches, "Sapporo", nil)[0] }
+		assert.GreaterOrEqual(t, candidates().Rest, 3*time.Second, "a shorter time doesn't end the rest")
+		assert.False(t, candidates().Probe)
+		assert.Empty(t, r.Due(service.Servers[:1], 1))
+		_, resting := r.Withdrawn()
+		assert.Equal(t, 1, resting)
+		time.Sleep(3 * time.Second)
+		assert.LessOrEqual(t, candidates().Rest, 500*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		assert.Zero(t, candidates().Rest)
+		assert.Less(t, candidates().Share, 0.3)
+		time.Sleep(4 * time.Second)
+		assert.InDelta(t, 1, candidates().Share, 1e-9)
+	})
+}
+
+// Guards against hosts that return to a server at one moment.
+func TestHostsReturnOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seen := make(map[time.Duration]bool)
+		for i := range 50 {
+			r := &register.Register{Random: mathrand.New(mathrand.NewPCG(uint64(i), 7))}
+			r.Observe(shed(4 * time.Second))
+			rest := r.Clearance("a").Rest
+			assert.GreaterOrEqual(t, rest, 4*time.Second)
+			seen[rest.Round(10*time.Millisecond)] = true
+		}
+		assert.Greater(t, len(seen), 20)
+	})
+}
+
+// Guards against what one life of a server said being applied to another, or
+// forgotten while its registration lapses.
+func TestFarewells(t *testing.T) {
+	leave := func(r *register.Register) { r.Observe(says("a", 2)) }
+	rest := func(r *register.Register) { r.Observe(shed(time.Hour)) }
+	lapse := func(r *register.Register) {
+		r.RetainServers(map[ebonyworks.ServerID]bool{"b": true})
+		r.RetainServers(map[ebonyworks.ServerID]bool{"a": true, "b": true})
+	}
+	life := func(incarnation ebonyworks.Incarnation) func(*register.Register) {
+		return func(r *register.Register) { r.Depart(ebonyworks.Departure{Server: "a", Incarnation: incarnation}) }
+	}
+	earlier := func(r *register.Register) {
+		r.Observe(says("a", 1))
+		r.Announce(ebonyworks.Departure{Server: "a", Incarnation: 1, Leaving: true})
+		r.Observe(ebonyworks.AttemptRecord{Server: "a", RetryAfter: time.Hour, Report: ebonyworks.ServerReport{Incarnation: 1}})
+	}
+	announce := func(r *register.Register) {
+		r.Announce(ebonyworks.Departure{Server: "a", Incarnation: 2, Leaving: true})
+	}
+	foreign := func(r *register.Register) {
+		r.Observe(ebonyworks.AttemptRecord{Server: "a", Report: ebonyworks.ServerReport{Server: "b", Incarnation: 2, Leaving: true}})
+	}
+	for _, test := range []struct {
+		name  string
+		steps []func(*register.Register)
+		taken bool
+	}{
+		{"leaves", []func(*register.Register){leave}, false},
+		{"leaves, lapses", []func(*register.Register){leave, lapse}, false},
+		{"leaves, lapses, same life", []func(*register.Register){leave, lapse, life(2)}, false},
+		{"leaves, old reading", []func(*register.Register){leave, life(1)}, false},
+		{"leaves, new life", []func(*register.Register){leave, life(3)}, true},
+		{"leaves, lapses, new life", []func(*register.Register){leave, lapse, life(3)}, true},
+		{"rests", []func(*register.Register){rest}, false},
+		{"rests, lapses, same life", []func(*register.Register){rest, lapse, life(2)}, false},
+		{"rests, new life", []func(*register.Register){rest, life(3)}, true},
+		{"earlier life", []func(*register.Register){earlier}, true},
+		{"told by a peer", []func(*register.Register){announce}, false},
+		{"told by a peer, lapses", []func(*register.Register){announce, lapse}, false},
+		{"another server's report", []func(*register.Register){foreign}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := &register.Register{}
+			life(2)(r)
+			for _, step := range test.steps {
+				step(r)
+			}
+			assert.Equal(t, test.taken, r.Clearance("a").Granted())
+			assert.Equal(t, test.taken, !r.Avoided()["a"])
+		})
+	}
+}
+
+// Guards against state for servers that left long ago.
+func TestFarewellsAreBounded(t *testing.T) {
+	r := &register.Register{}
+	for i := range 6000 {
+		id := ebonyworks.ServerID(fmt.Sprint(i))
+		r.Observe(says(id, 1))
+		if i%100 == 99 {
+			r.RetainServers(nil)
+		}
+	}
+	r.RetainServers(map[ebonyworks.ServerID]bool{"0": true, "5999": true})
+	assert.True(t, r.Clearance("0").Granted(), "the oldest is forgotten")
+	assert.False(t, r.Clearance("5999").Granted())
+}
+
+// Guards against work for a server that the store says is leaving, and for one whose
+// time of grace has passed.
+func TestGraceOfLeavingServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &register.Register{LeavingGrace: time.Second}
+		offered := func() int { return len(r.Candidates(service, searches, "Sapporo", nil)) }
+		whole := offered()
+		r.Observe(says(service.Servers[0].ID, 1))
+		assert.Equal(t, whole-1, offered(), "another server takes requests")
+		for _, server := range service.Servers[1:] {
+			r.Depart(ebonyworks.Departure{Server: server.ID, Incarnation: 1, Leaving: true})
+		}
+		// A message of an earlier life opens no time of grace.
+		r.Announce(ebonyworks.Departure{Server: service.Servers[1].ID, Incarnation: 0, Leaving: true})
+		assert.Equal(t, 1, offered(), "only the one that said so itself")
+		assert.True(t, r.Clearance(service.Servers[0].ID).Granted())
+		time.Sleep(time.Second)
+		assert.Zero(t, offered())
+		assert.True(t, r.Clearance(service.Servers[0].ID).Leaving)
+	})
+}
--- a/state/register/learn.go
+++ b/state/register/learn.go
@@ -18,6 +18,14 @@
 	}
 	r.learnReport(known, attempt, now)
 	r.learnResult(known, attempt, now)
+	if attempt.RetryAfter > 0 && isCurrent(known, attempt.Report) {
+		r.rest(known, attempt.Server, attempt.RetryAfter, now)
+	}
+}
+
+// isCurrent reports whether the report isn't that of an earlier life of the server.
+func isCurrent(known *record, report ebonyworks.ServerReport) bool {
+	return report.Incarnation == 0 || report.Incarnation >= known.incarnation
 }
 
 func (r *Register) learnReport(known *record, attempt ebonyworks.AttemptRecord, now time.Time) {
@@ -25,14 +33,17 @@
 	if report.Server != "" && report.Server != attempt.Server {
 		return
 	}
+	if !isCurrent(known, report) {
+		return
+	}
 	if report.Incarnation == 0 {
 		report.Incarnation = known.incarnation
 	}
-	if report.Incarnation < known.incarnation {
-		return
-	}
 	leaving := report.Leaving || attempt.Result == ebonyworks.AttemptDraining
 	r.learnIncarnation(known, ebonyworks.Departure{Server: attempt.Server, Incarnation: report.Incarnation, Leaving: leaving}, now)
+	if report.Leaving {
+		known.announce(now)
+	}
 	if attempt.Report.Server == "" {
 		return
 	}
@@ -71,7 +82,10 @@
 		known.returned = now
 	}
 	known.leaving = false
+	known.announced = time.Time{}
+	known.restUntil = time.Time{}
 	known.rampSince = now
+	known.rampTime = 0
 	known.latency = 0
 	known.typical = 0
 	known.fastest = 0
--- a/state/register/record.go
+++ b/state/register/record.go
@@ -15,8 +15,15 @@
 	leaving bool
 	// returned is when a newer incarnation cleared leaving.
 	returned time.Time
-	// rampSince is the start of the slow start.
+	// announced is when the server itself first said that this incarnation is
+	// leaving; zero if it didn't.
+	announced time.Time
+	// restUntil is until when this incarnation wants no request of this host.
+	restUntil time.Time
+	// rampSince is the start of the slow start, and rampTime its length; zero means
+	// RampTime.
 	rampSince time.Time
+	rampTime  time.Duration
 	// latency is the average as of latencyAt, zero if there is no sample.
 	latency   time.Duration
 	latencyAt time.Time
@@ -72,9 +79,12 @@
 	if k.rampSince.IsZero() {
 		return 1
 	}
-	steps := float64(now.Sub(k.rampSince) / rampStep)
-	total := float64(RampTime / rampStep)
-	return min(1, rampStart+(1-rampStart)*steps/total)
+	length := k.rampTime
+	if length == 0 {
+		length = RampTime
+	}
+	step := float64(now.Sub(k.rampSince) / (length / rampSteps))
+	return min(1, rampStart+(1-rampStart)*max(step, 0)/rampSteps)
 }
 
 // decayed returns the latency average as of now. It decays while there are no
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -23,7 +23,7 @@
 	// by which a departure has to be known everywhere.
 	StaleAge = 3 * time.Second
 
-	rampStep     = time.Second
+	rampSteps    = 10
 	rampStart    = 0.1
 	latencyDecay = 2 * time.Second
 	// maxLatency bounds what repeated shed replies can add to the average.
@@ -77,10 +77,16 @@
 	// ProbeByRequest lets requests find out whether a failing server works
 	// again. It is for services whose status requests take a slot.
 	ProbeByRequest bool
+	// LeavingGrace is how long a server that says that it is leaving may still get
+	// requests while no other server of its service takes any. Zero means not at
+	// all.
+	LeavingGrace time.Duration
 
 	mutex sync.Mutex
 	// servers has at most MaxServers entries.
 	servers map[ebonyworks.ServerID]*record
+	// farewells has at most maxFarewells entries.
+	farewells map[ebonyworks.ServerID]farewell
 	// retained is set once a configuration has named the servers.
 	retained bool
 	// staleBefore is the time of the latest resume from a pause.
@@ -166,7 +172,13 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(r.servers, func(id ebonyworks.ServerID, _ *record) bool { return !named[id] })
+	maps.DeleteFunc(r.servers, func(id ebonyworks.ServerID, known *record) bool {
+		if named[id] {
+			return false
+		}
+		r.remember(id, known, now)
+		return true
+	})
 	for id := range named {
 		r.add(id, now)
 	}
@@ -193,13 +205,14 @@
 		r.servers = make(map[ebonyworks.ServerID]*record)
 	}
 	known = &record{}
+	r.recall(id, known)
 	r.servers[id] = known
 	return known
 }
 
-func (r *Register) record(id ebonyworks.EventID, server ebonyworks.ServerID) {
+func (r *Register) record(id ebonyworks.EventID, server ebonyworks.ServerID, more ...ebonyworks.Attribute) {
 	if r.Recorder == nil {
 		return
 	}
-	r.Recorder.Record(event.New(id, event.Attribute("Server", string(server))))
+	r.Recorder.Record(event.New(id, append([]ebonyworks.Attribute{event.Attribute("Server", string(server))}, more...)...))
 }
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -50,6 +50,7 @@
 	StoreAge     = "ebonyworks.store.age"
 	StoreRead    = "ebonyworks.store.read"
 	StoreCalls   = "ebonyworks.store.calls"
+	Withdrawn    = "ebonyworks.servers.withdrawn"
 )
 
 // Catalogue returns all metrics in the order of docs/telemetry.md.
@@ -89,6 +90,7 @@
 		{Name: StoreAge, Kind: Gauge, Unit: "s"},
 		{Name: StoreRead, Kind: Gauge},
 		{Name: StoreCalls, Kind: Counter},
+		{Name: Withdrawn, Kind: Gauge, Labels: []string{"state"}},
 	}
 }
 
