Give a repeat back to the time that it was taken from

TestReturnCountsForItsOwnTime fails when charges are given back to the current part, and when one is given back after its part has left the window.

--- a/coordination/allowance/allowance.go
+++ b/coordination/allowance/allowance.go
@@ -44,6 +44,18 @@
 	services map[ebonyworks.ServiceID]*account
 }
 
+// Charge is a repeat that was taken. The zero value is none.
+type Charge struct {
+	service ebonyworks.ServiceID
+	// slot is the number of the bucket that it was taken from, counted from origin.
+	slot   int64
+	origin time.Time
+	taken  bool
+}
+
+// Taken reports whether the charge stands for a repeat.
+func (c Charge) Taken() bool { return c.taken }
+
 // account counts requests and repeats of one service.
 type account struct {
 	// slot is the number of the newest bucket.
@@ -85,19 +97,19 @@
 }
 
 // Take takes one repeat from the allowance, or returns false.
-func (l *Ledger) Take(service ebonyworks.ServiceID) bool {
+func (l *Ledger) Take(service ebonyworks.ServiceID) (Charge, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	known := l.open(service)
 	if known == nil {
-		return false
+		return Charge{}, false
 	}
 	index := known.index(l.now())
 	if l.left(known) < 1 {
-		return false
+		return Charge{}, false
 	}
 	known.repeats[index]++
-	return true
+	return Charge{service: service, slot: known.slot, origin: l.origin, taken: true}, true
 }
 
 // Left returns the repeats that can be taken now. Negative values mean that
@@ -113,16 +125,20 @@
 	return l.left(known)
 }
 
-// Return gives back a repeat that reached no server.
-func (l *Ledger) Return(service ebonyworks.ServiceID) {
+// Return gives back a repeat that reached no server. It counts for the time at which
+// it was taken: given to a later one, it would hide a repeat that stays in the window
+// for longer.
+func (l *Ledger) Return(charge Charge) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	known := l.open(service)
-	if known == nil {
+	known := l.services[charge.service]
+	if known == nil || !charge.taken || charge.origin != l.origin {
 		return
 	}
-	if index := known.index(l.now()); known.repeats[index] > 0 {
-		known.repeats[index]--
+	known.index(l.now())
+	place := charge.slot % (buckets + 1)
+	if known.slot-charge.slot <= buckets && known.repeats[place] > 0 {
+		known.repeats[place]--
 	}
 }
 
--- a/coordination/allowance/allowance_test.go
+++ b/coordination/allowance/allowance_test.go
@@ -50,7 +50,7 @@
 				}
 				// Every host asks for as many repeats as it can get.
 				for i := range ledgers {
-					if ledgers[i].Take(service) {
+					if took(ledgers[i]) {
 						events = append(events, event{at: time.Since(begin), repeat: true})
 					}
 				}
@@ -99,15 +99,17 @@
 func TestSlackAfterRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ledger := allowance.New(bound, 8)
-		assert.False(t, ledger.Take(service))
+		assert.False(t, took(ledger))
 		time.Sleep(bound.Window)
+		last, ok := ledger.Take(service)
 		taken := 0
-		for ledger.Take(service) {
+		for charge := last; ok; charge, ok = ledger.Take(service) {
+			last = charge
 			taken++
 		}
 		assert.Equal(t, 7, taken)
-		ledger.Return(service)
-		assert.True(t, ledger.Take(service))
+		ledger.Return(last)
+		assert.True(t, took(ledger))
 	})
 }
 
@@ -115,6 +117,32 @@
 func TestZeroValueGrantsNothing(t *testing.T) {
 	var ledger allowance.Ledger
 	ledger.Count(service)
-	assert.False(t, ledger.Take(service))
+	assert.False(t, took(&ledger))
 	assert.Zero(t, ledger.Left(service))
 }
+
+// took takes a repeat.
+func took(ledger *allowance.Ledger) bool {
+	_, ok := ledger.Take(service)
+	return ok
+}
+
+// Guards against a repeat that is given back to a later time than it was taken from,
+// where it hides another one.
+func TestReturnCountsForItsOwnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := allowance.New(allowance.Bound{Slack: 2, Window: 10 * time.Second}, 1)
+		time.Sleep(10 * time.Second)
+		early, ok := ledger.Take(service)
+		assert.True(t, ok)
+		time.Sleep(9 * time.Second)
+		assert.True(t, took(ledger))
+		ledger.Return(early)
+		assert.InDelta(t, 1, ledger.Left(service), 1e-9)
+		time.Sleep(3 * time.Second)
+		assert.InDelta(t, 1, ledger.Left(service), 1e-9, "the second repeat is 3 s old")
+		ledger.Return(early)
+		ledger.Return(allowance.Charge{})
+		assert.InDelta(t, 1, ledger.Left(service), 1e-9)
+	})
+}
--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
 	"github.com/ebonyworks/ebonyworks/event"
 )
 
@@ -33,8 +34,8 @@
 	leg       *leg
 	candidate ebonyworks.Candidate
 	kind      attemptKind
-	// charged is set if the attempt was taken from the repeats.
-	charged bool
+	// charge is what was taken from the repeats for the attempt.
+	charge allowance.Charge
 	// awaits is set if the attempt may wait until its server takes requests again.
 	awaits bool
 	// declined is why the attempt wasn't sent; empty if it was. It is set as record.
@@ -61,7 +62,7 @@
 		Server:  a.candidate.Server.ID,
 		Result:  ebonyworks.AttemptUnreachable,
 		Hedge:   a.kind == attemptHedge || a.kind == attemptProbe,
-		Retry:   a.kind == attemptRetry || a.kind == attemptFirst && a.charged,
+		Retry:   a.kind == attemptRetry || a.kind == attemptFirst && a.charge.Taken(),
 	}
 	a.contained()
 	run.ends <- a
--- a/coordination/fanout/budget_test.go
+++ b/coordination/fanout/budget_test.go
@@ -137,7 +137,8 @@
 						return behavior{takes: 2 * target, result: ebonyworks.AttemptUnreachable}
 					}
 				})
-				repeats := &countedRepeats{left: 1}
+				repeats := &countedRepeats{Ledger: allowance.New(allowance.Bound{Slack: 1, Window: time.Second}, 1)}
+				time.Sleep(time.Second)
 				w.Repeats = repeats
 				w.ask("/one/1")
 				w.mutex.Lock()
@@ -149,23 +150,23 @@
 	}
 }
 
-// countedRepeats grants a number of repeats.
-type countedRepeats struct{ left, taken int }
-
-func (*countedRepeats) Count(ebonyworks.ServiceID) {}
+// countedRepeats counts the repeats that are taken and not given back.
+type countedRepeats struct {
+	*allowance.Ledger
+	taken int
+}
 
-func (r *countedRepeats) Take(ebonyworks.ServiceID) bool {
-	if r.left == 0 {
-		return false
+func (r *countedRepeats) Take(service ebonyworks.ServiceID) (allowance.Charge, bool) {
+	charge, ok := r.Ledger.Take(service)
+	if ok {
+		r.taken++
 	}
-	r.left--
-	r.taken++
-	return true
+	return charge, ok
 }
 
-func (r *countedRepeats) Left(ebonyworks.ServiceID) float64 { return float64(r.left) }
-
-func (r *countedRepeats) Return(ebonyworks.ServiceID) {
-	r.left++
-	r.taken--
+func (r *countedRepeats) Return(charge allowance.Charge) {
+	r.Ledger.Return(charge)
+	if charge.Taken() {
+		r.taken--
+	}
 }
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
 	"github.com/ebonyworks/ebonyworks/coordination/delegation"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
 )
@@ -39,11 +40,11 @@
 	// Count counts a request of a caller.
 	Count(service ebonyworks.ServiceID)
 	// Take takes one repeat, or returns false.
-	Take(service ebonyworks.ServiceID) bool
+	Take(service ebonyworks.ServiceID) (allowance.Charge, bool)
 	// Left returns the repeats that can be taken now.
 	Left(service ebonyworks.ServiceID) float64
 	// Return gives back a repeat that reached no server.
-	Return(service ebonyworks.ServiceID)
+	Return(charge allowance.Charge)
 }
 
 // Delays tells when an attempt has taken longer than usual.
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/allowance"
 	"github.com/ebonyworks/ebonyworks/coordination/merging"
 )
 
@@ -147,18 +148,21 @@
 	if len(l.offered) == 0 || l.rest > 0 && l.hopeless {
 		return
 	}
-	if l.run.repeat && !l.run.forwarder.Repeats.Take(l.id) {
-		l.starved = true
+	charge, ok := l.charge(l.run.repeat)
+	if !ok {
 		return
 	}
-	l.start(l.offered[l.first], attemptFirst, l.run.repeat)
+	l.start(l.offered[l.first], attemptFirst, charge)
 	l.scheduleHedge(now.Add(l.rest))
 	for i := range l.offered {
 		if i == l.first || !l.offered[i].Probe || !l.mayStart() || !l.admits(l.offered[i].Server.ID) || !l.hasRoom(&l.offered[i]) {
 			continue
 		}
-		if l.run.forwarder.Repeats.Left(l.id) > probeReserve && l.run.forwarder.Repeats.Take(l.id) {
-			l.start(l.offered[i], attemptProbe, true)
+		if l.run.forwarder.Repeats.Left(l.id) <= probeReserve {
+			continue
+		}
+		if charge, ok := l.run.forwarder.Repeats.Take(l.id); ok {
+			l.start(l.offered[i], attemptProbe, charge)
 		}
 	}
 }
@@ -203,11 +207,9 @@
 		l.due = now.Add(l.run.recheckTime())
 		return
 	}
-	if !l.run.forwarder.Repeats.Take(l.id) {
-		l.starved = true
-		return
+	if charge, ok := l.charge(true); ok {
+		l.start(candidate, attemptHedge, charge)
 	}
-	l.start(candidate, attemptHedge, true)
 }
 
 // ended takes the end of an attempt and decides on a retry.
@@ -220,10 +222,10 @@
 	} else {
 		l.spent++
 	}
-	if end.record.Result != ebonyworks.AttemptUnreachable {
+	if end.record.Result == ebonyworks.AttemptUnreachable {
+		l.run.forwarder.Repeats.Return(end.charge)
+	} else {
 		l.arrived = true
-	} else if end.charged {
-		l.run.forwarder.Repeats.Return(l.id)
 	}
 	switch {
 	case l.done:
@@ -284,15 +286,24 @@
 		return
 	}
 	// If no server could be reached so far, none saw the request.
-	charged := l.arrived || l.run.repeat
-	if charged && !l.run.forwarder.Repeats.Take(l.id) {
-		l.starved = true
+	charge, ok := l.charge(l.arrived || l.run.repeat)
+	if !ok {
 		return
 	}
-	l.start(candidate, attemptRetry, charged)
+	l.start(candidate, attemptRetry, charge)
 	l.scheduleHedge(now)
 }
 
+// charge takes a repeat if the attempt is one. It returns false if none is left.
+func (l *leg) charge(repeat bool) (allowance.Charge, bool) {
+	if !repeat {
+		return allowance.Charge{}, true
+	}
+	charge, ok := l.run.forwarder.Repeats.Take(l.id)
+	l.starved = l.starved || !ok
+	return charge, ok
+}
+
 // mayRepeat reports whether the request may be sent again after the result.
 func (l *leg) mayRepeat(result ebonyworks.AttemptResult) bool {
 	return result.ProvesNotRun() || l.run.route.Idempotent
@@ -321,13 +332,13 @@
 	return slices.DeleteFunc(candidates, func(candidate ebonyworks.Candidate) bool { return !l.admits(candidate.Server.ID) })
 }
 
-func (l *leg) start(candidate ebonyworks.Candidate, kind attemptKind, charged bool) {
+func (l *leg) start(candidate ebonyworks.Candidate, kind attemptKind, charge allowance.Charge) {
 	l.asked = append(l.asked, candidate.Server.ID)
 	l.share.take(candidate.Server.ID)
 	l.started++
 	l.inFlight++
 	l.run.inFlight++
-	started := &attempt{leg: l, candidate: candidate, kind: kind, charged: charged, awaits: candidate.Rest > 0}
+	started := &attempt{leg: l, candidate: candidate, kind: kind, charge: charge, awaits: candidate.Rest > 0}
 	started.waiting.deadline = l.run.latest
 	l.run.attempts = append(l.run.attempts, started)
 	go started.do()
