Soak fleets of many processes; servers that leave or ask for rest

The soak ran three processes. -soak.hosts sets their number (up to 250, in four domains), -soak.sizes their sizes, so that smaller ones delegate; a fault begins for each ten of them at a time, and planned stops overlap with everything else.

Checked while it runs, for fleets of one size: no request that a caller sent later than 3 s after a host had passed on that a server leaves reaches that server from that host, and at most two between half a second after a refusal with a time and the end of that time.

--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -25,6 +25,8 @@
 	mutex sync.Mutex
 	fault string
 	conns map[net.Conn]bool
+	// changed is when a fault last began or ended.
+	changed time.Time
 }
 
 func newLink(t *testing.T, target string) *link {
@@ -46,6 +48,9 @@
 func (l *link) set(fault string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.fault != fault {
+		l.changed = time.Now()
+	}
 	l.fault = fault
 	if fault != "reset" {
 		return
@@ -63,6 +68,13 @@
 	_ = conn.Close()
 }
 
+// cleanSince reports whether the link has had no fault since the time.
+func (l *link) cleanSince(at time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.fault == "" && l.changed.Before(at)
+}
+
 func (l *link) current() string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -29,9 +29,15 @@
 type front struct {
 	address, ready, settings string
 	log                      *os.File
-	command                  *exec.Cmd
-	done                     chan struct{}
-	paused                   bool
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	paused  bool
+	// stopping is set during a planned stop.
+	stopping bool
+	// disturbed is when the process last stood still, or began.
+	disturbed time.Time
 }
 
 type site struct {
@@ -45,6 +51,8 @@
 	// hosts and each server.
 	storeLinks, serverLinks []*link
 	version                 int
+	// stops are the planned stops that go on.
+	stops sync.WaitGroup
 }
 
 func newSite(t *testing.T, binary string, seed uint64) *site {
@@ -67,17 +75,17 @@
 	// Each run and each host has an address of its own on the loopback network.
 	base := fmt.Sprintf("127.%d.%d", 1+seed%200, 1+os.Getpid()%250)
 	var seeds []string
-	for i := range hostCount {
+	for i := range min(*hosts, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:7003", base, i+2))
 	}
-	for i := range hostCount {
+	for i := range *hosts {
 		s.storeLinks = append(s.storeLinks, newLink(t, listener.Addr().String()))
 		ip := fmt.Sprintf("%s.%d", base, i+2)
 		f := &front{address: ip + ":7001", ready: ip + ":7002", settings: filepath.Join(t.TempDir(), "settings.conf")}
 		content := strings.Join([]string{
-			"NodeName=host-" + fmt.Sprint(i), "Zone=zone-" + fmt.Sprint(i), "ListenAddrs.Front=" + f.address, "ListenAddrs.Ready=" + f.ready,
+			"NodeName=host-" + fmt.Sprint(i), "Zone=zone-" + fmt.Sprint(i%zoneCount), "ListenAddrs.Front=" + f.address, "ListenAddrs.Ready=" + f.ready,
 			"ListenAddrs.Control=" + ip + ":7003", "Seeds=" + strings.Join(seeds, ","), "platform.Address=" + s.storeLinks[i].address(),
-			"Limits.CpuShare=0.4", "Limits.Cores=1", fmt.Sprintf("Limits.MemoryMb=%d", memoryMb), "Bounds.GraceS=6", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10",
+			fmt.Sprintf("Limits.CpuShare=%g", capacity(i)), "Limits.Cores=1", fmt.Sprintf("Limits.MemoryMb=%d", memoryMb), "Bounds.GraceS=6", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10",
 			"Bounds.RetrySlack=56", "Bounds.ConfigApplyMs=3000", "Bounds.DrainMs=3000",
 		}, "\n")
 		require.NoError(t, os.WriteFile(f.settings, []byte(content), 0o600))
@@ -94,6 +102,14 @@
 	return s
 }
 
+// capacity returns the size of a process in cores.
+func capacity(host int) float64 {
+	if !*sizes {
+		return 0.4
+	}
+	return []float64{0.8, 0.2, 0.4}[host%3]
+}
+
 // configure writes the next version of the configuration, whose newest route
 // has the version in its path.
 func (s *site) configure() {
@@ -113,7 +129,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	b := &backend{id: fmt.Sprintf("i-%d-%d", s.seed, len(s.servers)), service: service, ledger: s.ledger, listener: listener, delay: 5 * time.Millisecond}
+	b := &backend{id: fmt.Sprintf("i-%d-%d", s.seed, len(s.servers)), service: service, ledger: s.ledger, site: s, listener: listener, delay: 5 * time.Millisecond}
 	go b.serve()
 	t.Cleanup(func() { _ = listener.Close() })
 	s.servers = append(s.servers, b)
@@ -123,13 +139,13 @@
 }
 
 func (s *site) announce(b *backend, state string) {
-	s.store.put("servers/"+b.id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":4,"State":%q,"WarmupLeftMs":0,"Sequence":1,"born":1}`, b.service, b.address, state))
+	s.store.put("servers/"+b.id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-0","Version":"v1","Slots":4,"State":%q,"WarmupLeftMs":0,"Sequence":1,"born":%d}`, b.service, b.address, state, b.life()))
 }
 
 func (s *site) start(t *testing.T) {
 	t.Helper()
 	for _, f := range s.fronts {
-		f.start(t, s.binary)
+		require.NoError(t, f.start(s.binary))
 	}
 	t.Cleanup(func() {
 		for _, f := range s.fronts {
@@ -141,24 +157,67 @@
 	}
 }
 
-func (f *front) start(t *testing.T, binary string) {
-	t.Helper()
+func (f *front) start(binary string) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.command = exec.Command(binary)
 	f.command.Env = []string{"EBONYWORKS_BOOT=" + f.settings}
 	f.command.Stdout, f.command.Stderr = f.log, f.log
-	require.NoError(t, f.command.Start())
+	f.paused, f.stopping = false, false
+	f.disturbed = time.Now()
+	if err := f.command.Start(); err != nil {
+		return err
+	}
 	f.done = make(chan struct{})
 	go func(command *exec.Cmd, done chan struct{}) {
 		_ = command.Wait()
 		close(done)
 	}(f.command, f.done)
+	return nil
+}
+
+// signal sends a signal, and returns what is closed when the process has ended.
+func (f *front) signal(signal syscall.Signal) <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch signal {
+	case syscall.SIGSTOP:
+		f.paused, f.disturbed = true, time.Now()
+	case syscall.SIGCONT:
+		if f.paused {
+			f.disturbed = time.Now()
+		}
+		f.paused = false
+	}
+	_ = f.command.Process.Signal(signal)
+	return f.done
+}
+
+func (f *front) kill() { <-f.signal(syscall.SIGKILL) }
+
+// beginStop reports whether a planned stop may begin, and notes it.
+func (f *front) beginStop() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.paused || f.stopping {
+		return false
+	}
+	f.stopping = true
+	return true
 }
 
-func (f *front) signal(signal syscall.Signal) { _ = f.command.Process.Signal(signal) }
+// isStopping reports whether a planned stop goes on.
+func (f *front) isStopping() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.stopping
+}
 
-func (f *front) kill() {
-	f.signal(syscall.SIGKILL)
-	<-f.done
+// calmSince reports whether the process has run without a pause since the time.
+func (f *front) calmSince(at time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.paused && f.disturbed.Before(at)
 }
 
 func (f *front) isReady() bool {
@@ -172,29 +231,23 @@
 }
 
 // inject starts or ends one fault.
-func (s *site) inject(t *testing.T, random *rand.Rand) {
-	t.Helper()
+func (s *site) inject(random *rand.Rand) {
 	f := s.fronts[random.IntN(len(s.fronts))]
 	b := s.servers[random.IntN(len(s.servers))]
 	switch random.IntN(12) {
 	case 0:
-		f.kill()
-		f.paused = false
-		f.start(t, s.binary)
+		if !f.isStopping() {
+			f.kill()
+			s.restart(f)
+		}
 	case 1:
-		if !f.paused {
-			f.signal(syscall.SIGTERM)
-			select {
-			case <-f.done:
-			case <-time.After(7 * time.Second):
-				s.ledger.problem("host %s runs 7 s after SIGTERM", f.address)
-				f.kill()
-			}
-			f.start(t, s.binary)
+		if f.beginStop() {
+			s.stops.Go(func() { s.stop(f) })
 		}
 	case 2:
-		f.signal(syscall.SIGSTOP)
-		f.paused = true
+		if !f.isStopping() {
+			f.signal(syscall.SIGSTOP)
+		}
 	case 3, 4:
 		s.resume()
 	case 5:
@@ -232,10 +285,26 @@
 	chosen.set(linkFaults[random.IntN(len(linkFaults))])
 }
 
+// stop stops a process as planned, and starts it again.
+func (s *site) stop(f *front) {
+	select {
+	case <-f.signal(syscall.SIGTERM):
+	case <-time.After(7 * time.Second):
+		s.ledger.problem("host %s runs 7 s after SIGTERM", f.address)
+		f.kill()
+	}
+	s.restart(f)
+}
+
+func (s *site) restart(f *front) {
+	if err := f.start(s.binary); err != nil {
+		s.ledger.problem("start host %s: %v", f.address, err)
+	}
+}
+
 func (s *site) resume() {
 	for _, f := range s.fronts {
 		f.signal(syscall.SIGCONT)
-		f.paused = false
 	}
 }
 
@@ -247,8 +316,10 @@
 		l.set("")
 	}
 	s.resume()
+	s.stops.Wait()
 	for _, b := range s.servers {
 		b.set(func() { b.fault, b.delay = "", 5*time.Millisecond })
+		s.beginLife(b)
 	}
 	time.Sleep(4 * time.Second)
 	s.configure()
@@ -272,11 +343,12 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &callers{cancel: cancel}
-	for number := range callerCount {
+	for number := range min(callersPerHost**hosts, maxCallers) {
 		c.asking.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * time.Second}
 			for i := 0; ctx.Err() == nil; i++ {
-				s.ask(client, s.fronts[(number+i/20)%hostCount], fmt.Sprintf("q-%d-%d-%d", s.seed, number, i), i%3 == 0)
+				host := (number + i/20) % *hosts
+				s.ask(client, host, fmt.Sprintf("q-%d-%d-%d-%d", s.seed, host, number, i), i%3 == 0)
 				time.Sleep(15 * time.Millisecond)
 			}
 		})
@@ -285,7 +357,9 @@
 	return c
 }
 
-func (s *site) ask(client *http.Client, f *front, id string, once bool) {
+func (s *site) ask(client *http.Client, host int, id string, once bool) {
+	f := s.fronts[host]
+	s.ledger.send(id)
 	method, path, body := http.MethodGet, "/all/"+id, io.Reader(nil)
 	if once {
 		method, path, body = http.MethodPost, "/once/"+id, bytes.NewReader([]byte("body of "+id))
@@ -315,6 +389,7 @@
 		return
 	}
 	s.judge(response, string(content), id, once)
+	s.passOn(response, host)
 }
 
 func (s *site) note(outcome string, good bool) {
@@ -350,7 +425,8 @@
 	parts := make(map[string]bool)
 	var records []string
 	for _, stamp := range strings.Split(response.Header.Get("Part-Stamps"), ", ") {
-		service, of, _ := strings.Cut(stamp, "/")
+		service, rest, _ := strings.Cut(stamp, "/")
+		of, _, _ := strings.Cut(rest, "/")
 		if of != id || parts[service] {
 			s.ledger.problem("answer to %s names part %q", id, stamp)
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,7 +3,7 @@
 // and backend servers see.
 //
 // Each seed is one run: go test ./soak -run TestSoak -soak.seeds 1,2,3
-// -soak.duration 30s.
+// -soak.duration 30s -soak.hosts 40 -soak.sizes.
 package soak
 
 import (
@@ -22,6 +22,8 @@
 var (
 	seeds    = flag.String("soak.seeds", failedSeeds, "seeds of the runs, separated by commas; a-b is a range")
 	duration = flag.Duration("soak.duration", 6*time.Second, "time with faults in each run")
+	hosts    = flag.Int("soak.hosts", 3, "number of processes in each run, at most 250")
+	sizes    = flag.Bool("soak.sizes", false, "processes of several sizes, of which the smaller ones delegate to the larger ones")
 )
 
 // failedSeeds are the seeds that have failed.
@@ -30,9 +32,14 @@
 const failedSeeds = "9,13,14,21,42,46"
 
 const (
-	hostCount   = 3
-	shardCount  = 4
-	callerCount = 6
+	shardCount = 4
+	// zoneCount bounds the failure domains, and callersPerHost and maxCallers the
+	// callers.
+	zoneCount      = 4
+	callersPerHost = 2
+	maxCallers     = 60
+	// hostsPerFault is the number of hosts for each of which a fault begins at a time.
+	hostsPerFault = 10
 	// settleTime is how long a run goes on without faults before its end. It is
 	// longer than any promise takes to hold again.
 	settleTime = 8 * time.Second
@@ -81,13 +88,17 @@
 func soakOnce(t *testing.T, binary string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	links := rand.New(rand.NewPCG(seed, 8))
+	withdrawals := rand.New(rand.NewPCG(seed, 9))
 	site := newSite(t, binary, seed)
 	site.start(t)
 	callers := site.startCallers(t)
 	end := time.Now().Add(*duration)
 	for time.Now().Before(end) {
-		site.inject(t, random)
+		for range 1 + *hosts/hostsPerFault {
+			site.inject(random)
+		}
 		site.injectLink(links)
+		site.withdraw(withdrawals)
 		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
 	}
 	site.heal(t)
--- /dev/null
+++ b/soak/withdrawal_test.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// drainTime is the time after which a server that said that it is leaving must
+	// get no new work.
+	drainTime = 3 * time.Second
+	// restSlack is how long after its refusal a server may still get requests, and
+	// maxInRest how many it may get after that.
+	restSlack = 500 * time.Millisecond
+	maxInRest = 2
+)
+
+// notice is what one host was told of one life of a server.
+type notice struct {
+	host   int
+	server string
+	life   int
+}
+
+// restNotice is the first refusal of a host with a time.
+type restNotice struct {
+	at, until time.Time
+	// reached counts the requests from there after restSlack.
+	reached int
+}
+
+// withdraw lets a server ask for rest, leave, or begin a new life.
+func (s *site) withdraw(random *rand.Rand) {
+	b := s.servers[random.IntN(len(s.servers))]
+	rest := 300*time.Millisecond + time.Duration(random.Int64N(int64(5*time.Second)))
+	switch random.IntN(5) {
+	case 0, 1:
+		b.set(func() { b.restUntil = time.Now().Add(rest) })
+	case 2:
+		b.set(func() { b.leaving = true })
+	case 3:
+		s.beginLife(b)
+	}
+}
+
+// beginLife starts the server again under its id. It knows nothing of before.
+func (s *site) beginLife(b *backend) {
+	b.set(func() {
+		b.born++
+		b.leaving, b.restUntil, b.told = false, time.Time{}, nil
+	})
+	s.announce(b, "ready")
+}
+
+// life returns the number of the server's life for its entry.
+func (b *backend) life() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.born + 1
+}
+
+// hostOf returns the host that a caller sent the request to, or -1.
+func hostOf(id string) int {
+	parts := strings.Split(id, "-")
+	if len(parts) < 3 {
+		return -1
+	}
+	host, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return -1
+	}
+	return host
+}
+
+// resting returns how long the server still rests, and checks that the host of the
+// request obeys what it was told. A smaller host has its requests sent by larger
+// ones, which the server can't tell apart, so only fleets of one size are checked.
+func (b *backend) resting(id string) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := time.Now()
+	host := hostOf(id)
+	if known := b.told[host]; known != nil && now.After(known.at.Add(restSlack)) && now.Before(known.until) {
+		if known.reached++; known.reached > maxInRest && !*sizes && b.site.undisturbed(host, b, known.at) {
+			b.ledger.problem("server %s got %s from host %d, %s after it had asked it for rest", b.id, id, host, now.Sub(known.at))
+		}
+	}
+	rest := b.restUntil.Sub(now)
+	if rest > 0 && host >= 0 {
+		if b.told == nil {
+			b.told = make(map[int]*restNotice)
+		}
+		if known := b.told[host]; known == nil || now.After(known.until) {
+			b.told[host] = &restNotice{at: now, until: b.restUntil}
+		}
+	}
+	return rest
+}
+
+// checkLeaving returns whether the server says that it leaves, and its life. It
+// checks that the host of the request doesn't know that already.
+func (b *backend) checkLeaving(id string) (leaving bool, life int) {
+	b.mutex.Lock()
+	leaving, life = b.leaving, b.born
+	b.mutex.Unlock()
+	host := hostOf(id)
+	b.ledger.mutex.Lock()
+	passed, told := b.ledger.passed[notice{host, b.id, life}]
+	sent := b.ledger.sent[id]
+	b.ledger.mutex.Unlock()
+	if told && sent.After(passed.Add(drainTime)) && !*sizes && b.site.undisturbed(host, b, passed) {
+		b.ledger.problem("server %s got %s from host %d, sent %s after that had passed on that it leaves", b.id, id, host, sent.Sub(passed))
+	}
+	return leaving, life
+}
+
+// undisturbed reports whether the host has run since the time, and its way to the
+// server was clean.
+func (s *site) undisturbed(host int, b *backend, since time.Time) bool {
+	for i, server := range s.servers {
+		if server == b && !s.serverLinks[i].cleanSince(since) {
+			return false
+		}
+	}
+	return s.fronts[host].calmSince(since)
+}
+
+// send notes that a caller sends a request.
+func (l *ledger) send(id string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sent[id] = time.Now()
+}
+
+// passOn notes which servers said, in an answer that the host passed on, that they
+// are leaving.
+func (s *site) passOn(response *http.Response, host int) {
+	stamps := strings.Split(response.Header.Get("Part-Stamps"), ", ")
+	stamps = append(stamps, response.Header.Get("Server-Stamp"))
+	s.ledger.mutex.Lock()
+	defer s.ledger.mutex.Unlock()
+	for _, stamp := range stamps {
+		parts := strings.Split(stamp, "/")
+		if len(parts) < 5 || parts[4] != fmt.Sprint(true) {
+			continue
+		}
+		life, err := strconv.Atoi(parts[3])
+		if err != nil {
+			continue
+		}
+		of := notice{host, parts[2], life}
+		if _, known := s.ledger.passed[of]; !known {
+			s.ledger.passed[of] = time.Now()
+		}
+	}
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -31,12 +31,17 @@
 	// bad holds the times of failures after which the callers' promise of
 	// service is in doubt.
 	bad []time.Time
+	// sent is when callers sent each request.
+	sent map[string]time.Time
+	// passed is when a host first passed on that a life of a server leaves.
+	passed map[notice]time.Time
 }
 
 func newLedger() *ledger {
 	return &ledger{
 		runs: make(map[string]int), once: make(map[string]bool), refused: make(map[string]string),
 		served: make(map[string]int), outcomes: make(map[string]int),
+		sent: make(map[string]time.Time), passed: make(map[notice]time.Time),
 	}
 }
 
@@ -187,6 +192,15 @@
 	// leftAt is when the entry said that the server is leaving; zero if it
 	// isn't.
 	leftAt time.Time
+	// born numbers the lives of the server, from 0.
+	born int
+	// leaving is set while the server says in its answers that it leaves, and
+	// restUntil is until when it refuses requests and wants none.
+	leaving   bool
+	restUntil time.Time
+	// told are the refusals with a time, by host.
+	told map[int]*restNotice
+	site *site
 }
 
 func (b *backend) set(change func()) {
@@ -253,6 +267,10 @@
 	case fault == "shed":
 		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
+	if rest := b.resting(id); rest > 0 {
+		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", id, rest.Seconds())
+	}
+	leaving, life := b.checkLeaving(id)
 	if !leftAt.IsZero() && time.Since(leftAt) > drainBound {
 		b.ledger.problem("server %s got %s %s after its entry said that it leaves", b.id, id, time.Since(leftAt))
 	}
@@ -262,7 +280,11 @@
 	b.ledger.ran(id)
 	time.Sleep(delay)
 	content := record(b.service, id, 0) + record(b.service, id, 1)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s/%s\r\nServer-Load: 1,0,2\r\nContent-Length: %d\r\n\r\n", id, b.service, id, len(content))
+	said := ""
+	if leaving {
+		said = "Server-Leaving: 1\r\n"
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s/%s/%s/%d/%t\r\n%sServer-Load: 1,0,2\r\nContent-Length: %d\r\n\r\n", id, b.service, id, b.id, life, leaving, said, len(content))
 	if start, endless := strings.CutPrefix(fault, "endless "); endless {
 		if !respond("%s", strings.ReplaceAll(start, "ID", id)) {
 			return false
