--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -126,8 +126,8 @@
 			a.declined = "server " + string(a.candidate.Server.ID) + " is leaving"
 			return false
 		}
-		if !a.awaits || !a.waiting.sleep(clearance.Rest) {
-			a.declined = "server " + string(a.candidate.Server.ID) + " wants no requests for " + clearance.Rest.Round(time.Millisecond).String()
+		if !a.awaits || !a.waiting.sleep(clearance.Backoff) {
+			a.declined = "server " + string(a.candidate.Server.ID) + " wants no requests for " + clearance.Backoff.Round(time.Millisecond).String()
 			return false
 		}
 	}
--- a/coordination/fanout/rest_test.go
+++ b/coordination/fanout/backoff_test.go
@@ -15,58 +15,58 @@
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 )
 
-// restSlack is how long after its refusal a server may still get requests that were
+// backoffSlack is how long after its refusal a server may still get requests that were
 // on their way.
-const restSlack = 500 * time.Millisecond
+const backoffSlack = 500 * time.Millisecond
 
-// restingFleet is a fleet whose servers refuse all requests for a time and say so.
-type restingFleet struct {
+// backoffFleet is a fleet whose servers refuse all requests for a time and say so.
+type backoffFleet struct {
 	*fleet
-	// restFrom and restUntil bound the time.
-	restFrom, restUntil time.Time
+	// backoffFrom and backoffUntil bound the time.
+	backoffFrom, backoffUntil time.Time
 	// told is when each server first refused a request of each host, and reached
-	// counts the requests that reached it from there after restSlack.
-	told    map[restKey]time.Time
-	reached map[restKey]int
+	// counts the requests that reached it from there after backoffSlack.
+	told    map[backoffKey]time.Time
+	reached map[backoffKey]int
 }
 
-type restKey struct {
+type backoffKey struct {
 	host   int
 	server ebonyworks.ServerID
 }
 
-// restingHost is the backend of one host.
-type restingHost struct {
-	*restingFleet
+// backoffHost is the backend of one host.
+type backoffHost struct {
+	*backoffFleet
 	host int
 }
 
-func newRestingFleet(t *testing.T) *restingFleet {
+func newBackoffFleet(t *testing.T) *backoffFleet {
 	t.Helper()
-	f := &restingFleet{fleet: newFleet(t), told: make(map[restKey]time.Time), reached: make(map[restKey]int)}
+	f := &backoffFleet{fleet: newFleet(t), told: make(map[backoffKey]time.Time), reached: make(map[backoffKey]int)}
 	for i := range f.hosts {
-		f.hosts[i] = f.forwarder(restingHost{f, i}, f.Table, rand.New(rand.NewPCG(uint64(i), 5)), fleetHosts, fleetHosts)
+		f.hosts[i] = f.forwarder(backoffHost{f, i}, f.Table, rand.New(rand.NewPCG(uint64(i), 5)), fleetHosts, fleetHosts)
 	}
 	time.Sleep(repeatBound.Window)
 	return f
 }
 
-// Send refuses the request while the servers rest.
-func (h restingHost) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+// Send refuses the request while the servers are in backoff.
+func (h backoffHost) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
 	now := time.Now()
-	if now.Before(h.restFrom) || !now.Before(h.restUntil) {
+	if now.Before(h.backoffFrom) || !now.Before(h.backoffUntil) {
 		return h.fleet.Send(ctx, to, request, deadline)
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	key := restKey{h.host, to.ID}
+	key := backoffKey{h.host, to.ID}
 	if h.told[key].IsZero() {
 		h.told[key] = now
 	}
-	if now.Sub(h.told[key]) > restSlack {
+	if now.Sub(h.told[key]) > backoffSlack {
 		h.reached[key]++
 	}
-	return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: h.restUntil.Sub(now)}
+	return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: h.backoffUntil.Sub(now)}
 }
 
 // outcome counts the ends of callers' requests.
@@ -84,7 +84,7 @@
 
 // ask sends requests to the single service at the rate. Callers who are refused come
 // back once, as they are told, after a third of their time at most.
-func (f *restingFleet) ask(perSecond int, length time.Duration) *outcome {
+func (f *backoffFleet) ask(perSecond int, length time.Duration) *outcome {
 	ends := &outcome{}
 	var asking sync.WaitGroup
 	interval := time.Second / time.Duration(perSecond)
@@ -125,18 +125,18 @@
 	return ends
 }
 
-// Measures what callers get while all servers of a service rest, by the length of
-// the rest and the load.
-func TestLoadOnRestingService(t *testing.T) {
+// Measures what callers get while all servers of a service are in backoff, by its
+// length and the load.
+func TestLoadDuringBackoff(t *testing.T) {
 	for _, load := range []int{100, 240, 380} {
-		for _, rest := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second} {
-			t.Run(fmt.Sprintf("%d/%s", load, rest), func(t *testing.T) {
+		for _, backoff := range []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%d/%s", load, backoff), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newRestingFleet(t)
+					f := newBackoffFleet(t)
 					f.ask(load, 2*time.Second)
-					f.restFrom = time.Now()
-					f.restUntil = f.restFrom.Add(rest)
-					during := f.ask(load, rest)
+					f.backoffFrom = time.Now()
+					f.backoffUntil = f.backoffFrom.Add(backoff)
+					during := f.ask(load, backoff)
 					after := f.ask(load, time.Second)
 					t.Logf("during: credit %.2f of %d, in time %d, late %d, refused %d, held %s; after: credit %.2f, refused %d",
 						during.credit(), during.asked, during.inTime, during.late, during.refused, during.held/time.Duration(max(during.asked, 1)), after.credit(), after.refused)
@@ -149,5 +149,5 @@
 	}
 }
 
-var _ ebonyworks.ForwardBackend = restingHost{}
-var _ fanout.Observer = (*restingFleet)(nil)
+var _ ebonyworks.ForwardBackend = backoffHost{}
+var _ fanout.Observer = (*backoffFleet)(nil)
--- a/coordination/fanout/budget_test.go
+++ b/coordination/fanout/budget_test.go
@@ -11,10 +11,7 @@
 
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/allowance"
-	"github.com/ebonyworks/ebonyworks/coordination/delegation"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
-	"github.com/ebonyworks/ebonyworks/coordination/selection"
-	"github.com/ebonyworks/ebonyworks/state/register"
 )
 
 // Guards against repeats of two hosts that run the same requests which together
@@ -40,13 +37,7 @@
 	larger.Directory, smaller.Directory = addReplicas(w, random), addReplicas(w, random)
 	larger.Repeats, smaller.Repeats = allowance.New(bound, 2), allowance.New(bound, 2)
 	larger.Inspection, smaller.Inspection, smaller.Domain = nil, nil, "b"
-	smaller.Delegation = &delegation.Delegator{
-		Self:      ebonyworks.Host{ID: "small", Domain: "b", Capacity: 0.2},
-		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
-		Peer:      &link{larger: larger, random: rand.New(rand.NewPCG(seed, 6))},
-		Selection: &selection.Selector{},
-		Register:  &register.Register{ProbeByRequest: true},
-	}
+	smaller.Delegation = delegator("b", &link{larger: larger, random: rand.New(rand.NewPCG(seed, 6))}, nil)
 	time.Sleep(bound.Window)
 	var sent []time.Time
 	for i := range 900 {
--- a/coordination/fanout/fallback_test.go
+++ b/coordination/fanout/fallback_test.go
@@ -117,6 +117,18 @@
 	{takes: time.Millisecond, result: ebonyworks.AttemptUnreachable},
 }
 
+// delegator lets a small host of the domain have its requests run by a larger one.
+func delegator(domain ebonyworks.DomainID, peer ebonyworks.ForwardPeer, departed func(ebonyworks.Departure)) *delegation.Delegator {
+	return &delegation.Delegator{
+		Self:      ebonyworks.Host{ID: "small", Domain: domain, Capacity: 0.2},
+		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
+		Peer:      peer,
+		Selection: &selection.Selector{},
+		Register:  &register.Register{ProbeByRequest: true},
+		Departed:  departed,
+	}
+}
+
 // troubleOf returns what the server does with the request.
 func troubleOf(seed uint64, server ebonyworks.ServerID, request ebonyworks.RequestID) behavior {
 	return troubles[int(part(seed, server, request)*float64(len(troubles)))]
@@ -149,13 +161,7 @@
 	other.Directory, other.Inspection, other.Domain = larger, nil, "c"
 	own := w.forwarder(&frozen{world: w, random: rand.New(rand.NewPCG(seed, 4))}, tables, rand.New(rand.NewPCG(seed, 5)), 8, 1)
 	own.Directory, own.Inspection, own.Domain = smaller, nil, "b"
-	own.Delegation = &delegation.Delegator{
-		Self:      ebonyworks.Host{ID: "small", Domain: "b", Capacity: 0.2},
-		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
-		Peer:      &link{larger: other, random: rand.New(rand.NewPCG(seed, 6))},
-		Selection: &selection.Selector{},
-		Register:  &register.Register{ProbeByRequest: true},
-	}
+	own.Delegation = delegator("b", &link{larger: other, random: rand.New(rand.NewPCG(seed, 6))}, nil)
 	time.Sleep(repeatBound.Window)
 	for i := range 60 {
 		id := ebonyworks.RequestID(fmt.Sprintf("%d-%d", seed, i))
--- a/coordination/fanout/leg.go
+++ b/coordination/fanout/leg.go
@@ -46,10 +46,10 @@
 	// index of the one that was chosen.
 	offered []ebonyworks.Candidate
 	first   int
-	// wait is the predicted wait of the first attempt for its permit, and rest how
-	// long its server, the first one to return, takes no requests. rest is zero
-	// unless all servers rest.
-	wait, rest time.Duration
+	// wait is the predicted wait of the first attempt for its permit, and backoff how
+	// long its server, the first one to return, takes no requests. backoff is zero
+	// unless all servers are in backoff.
+	wait, backoff time.Duration
 	// departing is set if no server takes requests because all are leaving.
 	departing bool
 	// crowded is set if a queue stands at the chosen server, and hopeless if the
@@ -71,8 +71,8 @@
 		return "no server of service " + string(l.id) + " is known"
 	case l.started == 0 && l.departing:
 		return "all servers of service " + string(l.id) + " are leaving"
-	case l.started == 0 && l.rest > 0:
-		return "all servers of service " + string(l.id) + " want no requests, the first for " + l.rest.Round(time.Millisecond).String()
+	case l.started == 0 && l.backoff > 0:
+		return "all servers of service " + string(l.id) + " want no requests, the first for " + l.backoff.Round(time.Millisecond).String()
 	case l.started == 0 && l.wait > 0:
 		return "service " + string(l.id) + " is overloaded: a request would wait for " + l.wait.Round(time.Millisecond).String()
 	case l.started == 0 && l.starved:
@@ -111,19 +111,19 @@
 		if index, ok = firstToReturn(offered); !ok {
 			return
 		}
-		l.rest = offered[index].Rest
+		l.backoff = offered[index].Backoff
 	}
 	l.offered, l.first = offered, index
 	l.wait = l.run.forwarder.Quota.PredictedWait(offered[index].Server.ID)
 	l.crowded = crowded(&offered[index], l.view.Slots)
 }
 
-// firstToReturn returns the index of the server with the shortest rest, or false if
+// firstToReturn returns the index of the server with the shortest backoff, or false if
 // there is none.
 func firstToReturn(candidates []ebonyworks.Candidate) (int, bool) {
 	first := -1
 	for i := range candidates {
-		if first < 0 || candidates[i].Rest < candidates[first].Rest {
+		if first < 0 || candidates[i].Backoff < candidates[first].Backoff {
 			first = i
 		}
 	}
@@ -136,8 +136,8 @@
 	if len(l.offered) == 0 {
 		return false
 	}
-	if l.rest > 0 {
-		return admission.awaits(l.rest + l.wait)
+	if l.backoff > 0 {
+		return admission.awaits(l.backoff + l.wait)
 	}
 	return admission.accepts(l.wait, l.crowded || admission.contended() && l.offered[l.first].Demand == 0)
 }
@@ -145,7 +145,7 @@
 // startFirst starts the first attempt that prepare chose, and a copy of the
 // request at a server that needs a probe.
 func (l *leg) startFirst(now time.Time) {
-	if len(l.offered) == 0 || l.rest > 0 && l.hopeless {
+	if len(l.offered) == 0 || l.backoff > 0 && l.hopeless {
 		return
 	}
 	charge, ok := l.charge(l.run.repeat)
@@ -153,7 +153,7 @@
 		return
 	}
 	l.start(l.offered[l.first], attemptFirst, charge)
-	l.scheduleHedge(now.Add(l.rest))
+	l.scheduleHedge(now.Add(l.backoff))
 	for i := range l.offered {
 		if i == l.first || !l.offered[i].Probe || !l.mayStart() || !l.admits(l.offered[i].Server.ID) || !l.hasRoom(&l.offered[i]) {
 			continue
@@ -338,7 +338,7 @@
 	l.started++
 	l.inFlight++
 	l.run.inFlight++
-	started := &attempt{leg: l, candidate: candidate, kind: kind, charge: charge, awaits: candidate.Rest > 0}
+	started := &attempt{leg: l, candidate: candidate, kind: kind, charge: charge, awaits: candidate.Backoff > 0}
 	started.waiting.deadline = l.run.latest
 	l.run.attempts = append(l.run.attempts, started)
 	go started.do()
--- a/coordination/fanout/overload.go
+++ b/coordination/fanout/overload.go
@@ -13,9 +13,9 @@
 const (
 	// maxRetryAfter is in the order of the restart of a server.
 	maxRetryAfter = 5 * time.Second
-	// maxRestAdvice bounds the part of the advice that is due to servers that rest.
+	// maxBackoffAdvice bounds the part of the advice that is due to servers in backoff.
 	// Others may take their place meanwhile.
-	maxRestAdvice = 30 * time.Second
+	maxBackoffAdvice = 30 * time.Second
 	// contendedPart is the part of the legs above which waits and queues are due to
 	// load. It is above the part that answers may lack by the usual bounds of coverage.
 	contendedPart = 0.2
@@ -113,11 +113,11 @@
 	return candidate.Demand >= crowdedPart*float64(slots)
 }
 
-// retryAfter returns when a refused caller should come back: after the rest of the
+// retryAfter returns when a refused caller should come back: after the backoff of the
 // servers, and then spread by the wait for permits and the share of refusals.
-func retryAfter(request ebonyworks.RequestID, rest, wait time.Duration, refused float64) time.Duration {
+func retryAfter(request ebonyworks.RequestID, backoff, wait time.Duration, refused float64) time.Duration {
 	chance := float64(xxhash.Sum64String(string(request))%1000) / 1000
-	return min(rest, maxRestAdvice) + min(pressure.ReturnTime(wait, refused, chance), maxRetryAfter)
+	return min(backoff, maxBackoffAdvice) + min(pressure.ReturnTime(wait, refused, chance), maxRetryAfter)
 }
 
 // hasFreeSlot reports whether a second attempt at the server takes a slot that
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -376,7 +376,7 @@
 func (r *run) unanswered(now time.Time) ebonyworks.ForwardReply {
 	if r.abandonUnsent() {
 		r.admission.refused = r.forwarder.Precedence.Refused(r.legs[0].id, r.route.Priority)
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.rest(), r.longestWait(), r.admission.refused)}
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.backoff(), r.longestWait(), r.admission.refused)}
 	}
 	if !now.Before(r.deadline) {
 		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyTimeout, Reason: r.reason()}
@@ -384,14 +384,14 @@
 	return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: r.reason()}
 }
 
-// rest returns the time after which enough legs have a server that takes requests.
-func (r *run) rest() time.Duration {
-	rests := make([]time.Duration, len(r.legs))
+// backoff returns the time after which enough legs have a server that takes requests.
+func (r *run) backoff() time.Duration {
+	backoffs := make([]time.Duration, len(r.legs))
 	for i, leg := range r.legs {
-		rests[i] = leg.rest
+		backoffs[i] = leg.backoff
 	}
-	slices.Sort(rests)
-	return rests[r.seal.needed-1]
+	slices.Sort(backoffs)
+	return backoffs[r.seal.needed-1]
 }
 
 // longestWait returns the longest predicted wait of the legs.
--- a/coordination/fanout/withdrawal_test.go
+++ b/coordination/fanout/withdrawal_test.go
@@ -16,7 +16,6 @@
 	"github.com/ebonyworks/ebonyworks/coordination/delegation"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
-	"github.com/ebonyworks/ebonyworks/coordination/selection"
 	"github.com/ebonyworks/ebonyworks/state/register"
 )
 
@@ -27,8 +26,8 @@
 // withdrawal is what a server says about the requests that it wants.
 type withdrawal struct {
 	leaving bool
-	// rest is until when it refuses requests and wants none.
-	rest time.Time
+	// backoff is until when it refuses requests and wants none.
+	backoff time.Time
 	// born is the server's incarnation.
 	born ebonyworks.Incarnation
 }
@@ -40,14 +39,14 @@
 }
 
 // withdrawalWorld is two hosts, of which the smaller one delegates to the larger, in
-// front of servers that leave, rest and restart.
+// front of servers that leave, refuse requests for a time, and restart.
 type withdrawalWorld struct {
 	*world
 	small, large host
 	random       *rand.Rand
 
 	state map[ebonyworks.ServerID]*withdrawal
-	// refused holds when a server asked a host for a rest, and until when.
+	// refused holds when a server asked a host for a backoff, and until when.
 	refused []refusal
 	// passed is when a host first passed on that a life of a server leaves.
 	passed map[lifeAt]time.Time
@@ -86,7 +85,7 @@
 	e.mutex.Lock()
 	way := time.Millisecond
 	if e.random.IntN(30) == 0 {
-		way += time.Duration(e.random.Int64N(int64(restSlack / 2)))
+		way += time.Duration(e.random.Int64N(int64(backoffSlack / 2)))
 	}
 	slow := e.random.IntN(15) == 0
 	e.mutex.Unlock()
@@ -96,10 +95,10 @@
 	now := time.Now()
 	at := lifeAt{e.name, to.ID, state.born}
 	e.visits = append(e.visits, visit{at, now, e.sentAt[request.ID]})
-	if now.Before(state.rest) {
-		e.refused = append(e.refused, refusal{at, now, state.rest})
+	if now.Before(state.backoff) {
+		e.refused = append(e.refused, refusal{at, now, state.backoff})
 		e.mutex.Unlock()
-		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: state.rest.Sub(now), Report: ebonyworks.ServerReport{Leaving: state.leaving}}
+		return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: state.backoff.Sub(now), Report: ebonyworks.ServerReport{Leaving: state.leaving}}
 	}
 	e.mutex.Unlock()
 	work := usual
@@ -140,14 +139,7 @@
 	w.large = w.host("large", seed)
 	w.small = w.host("small", seed)
 	w.small.Domain = "b"
-	w.small.Delegation = &delegation.Delegator{
-		Self:      ebonyworks.Host{ID: "small", Domain: "b", Capacity: 0.2},
-		Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
-		Peer:      &link{larger: w.large.Forwarder, random: rand.New(rand.NewPCG(seed, 6))},
-		Selection: &selection.Selector{},
-		Register:  &register.Register{ProbeByRequest: true},
-		Departed:  w.small.register.Announce,
-	}
+	w.small.Delegation = delegator("b", &link{larger: w.large.Forwarder, random: rand.New(rand.NewPCG(seed, 6))}, w.small.register.Announce)
 	time.Sleep(repeatBound.Window)
 	return w
 }
@@ -187,7 +179,7 @@
 	}
 }
 
-// disturb makes some server leave, rest or start again. The hosts learn of a new
+// disturb makes some server leave, refuse requests for a time, or start again. The hosts learn of a new
 // life from the store, each a little later, and of its lapsed entry at times.
 func (w *withdrawalWorld) disturb() {
 	w.mutex.Lock()
@@ -197,10 +189,10 @@
 	case 0, 1:
 		state.leaving = true
 	case 2, 3:
-		state.rest = time.Now().Add(200*time.Millisecond + time.Duration(w.random.Int64N(int64(4*time.Second))))
+		state.backoff = time.Now().Add(200*time.Millisecond + time.Duration(w.random.Int64N(int64(4*time.Second))))
 	default:
 		state.born++
-		state.leaving, state.rest = false, time.Time{}
+		state.leaving, state.backoff = false, time.Time{}
 	}
 	born := state.born
 	lapses := w.random.IntN(3) == 0
@@ -242,7 +234,7 @@
 				asking.Wait()
 				time.Sleep(time.Minute)
 				w.checkDrain(t)
-				w.checkRests(t)
+				w.checkBackoffs(t)
 			})
 		})
 	}
@@ -259,11 +251,11 @@
 	assert.NotEmpty(t, w.passed)
 }
 
-func (w *withdrawalWorld) checkRests(t *testing.T) {
+func (w *withdrawalWorld) checkBackoffs(t *testing.T) {
 	for _, asked := range w.refused {
 		count := 0
 		for _, one := range w.visits {
-			if one.lifeAt == asked.lifeAt && one.at.After(asked.at.Add(restSlack)) && one.at.Before(asked.until) {
+			if one.lifeAt == asked.lifeAt && one.at.After(asked.at.Add(backoffSlack)) && one.at.Before(asked.until) {
 				count++
 			}
 		}
@@ -280,7 +272,7 @@
 		ends ebonyworks.ForwardAttempt
 	}{
 		{"leaving", ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptFailed, Report: ebonyworks.ServerReport{Leaving: true}, Response: ebonyworks.ServerResponse{Status: 500, Signature: "s"}}},
-		{"rests for a week", ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: register.MaxRest}},
+		{"backoff of a week", ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptShed, RetryAfter: register.MaxBackoff}},
 	} {
 		for _, late := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/late=%t", test.name, late), func(t *testing.T) {
@@ -362,16 +354,16 @@
 
 // Guards against a merged answer that waits for, or is refused because of, a shard
 // whose servers want no requests, if the route can do without it.
-func TestMergedAnswerLeavesOutRestingShard(t *testing.T) {
+func TestMergedAnswerLeavesOutShardInBackoff(t *testing.T) {
 	for _, test := range []struct {
-		rest    time.Duration
+		backoff time.Duration
 		missing int
 	}{{4 * time.Second, 1}, {30 * time.Millisecond, 0}} {
-		t.Run(test.rest.String(), func(t *testing.T) {
+		t.Run(test.backoff.String(), func(t *testing.T) {
 			bubble(t, func(t *testing.T, w *world) {
 				w.warmUp()
 				for _, replica := range []string{"a", "b"} {
-					w.Servers.Observe(ebonyworks.AttemptRecord{Service: shard(3), Server: server(3, replica), Result: ebonyworks.AttemptShed, RetryAfter: test.rest})
+					w.Servers.Observe(ebonyworks.AttemptRecord{Service: shard(3), Server: server(3, replica), Result: ebonyworks.AttemptShed, RetryAfter: test.backoff})
 				}
 				reply, elapsed := w.ask("/all/1")
 				assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
@@ -393,13 +385,7 @@
 	bubble(t, func(t *testing.T, w *world) {
 		w.Domain = "a"
 		w.Servers.Observe(ebonyworks.AttemptRecord{Service: shard(0), Server: server(0, "a"), Result: ebonyworks.AttemptShed, RetryAfter: 4 * time.Second})
-		w.Delegation = &delegation.Delegator{
-			Self:      ebonyworks.Host{ID: "small", Domain: "a", Capacity: 0.2},
-			Alive:     func() []ebonyworks.Host { return []ebonyworks.Host{{ID: "large", Capacity: 0.8}} },
-			Peer:      lostPeer{},
-			Selection: &selection.Selector{},
-			Register:  &register.Register{ProbeByRequest: true},
-		}
+		w.Delegation = delegator("a", lostPeer{}, nil)
 		reply, _ := w.ask("/all/1")
 		assert.Equal(t, ebonyworks.ReplyMerged, reply.Kind)
 		assert.Zero(t, reply.Missing)
@@ -428,15 +414,15 @@
 func TestDelegatedReplyTellsWhoLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWithdrawalWorld(t, 1)
-		delegator := w.small.Delegation.(*delegation.Delegator)
-		delegator.Peer = soundPeer{w.large.Forwarder}
+		delegating := w.small.Delegation.(*delegation.Delegator)
+		delegating.Peer = soundPeer{w.large.Forwarder}
 		// Both hosts prefer the same servers.
 		w.small.Domain = "a"
 		for _, replica := range []string{"a", "b"} {
 			w.state[server(7, replica)].leaving = true
 		}
 		w.send("small", w.small, "first")
-		delegator.Peer = lostPeer{}
+		delegating.Peer = lostPeer{}
 		time.Sleep(drainTime)
 		w.send("small", w.small, "second")
 		assert.NotEmpty(t, w.passed)
--- a/coordination/selection/selection.go
+++ b/coordination/selection/selection.go
@@ -20,10 +20,10 @@
 	// queueFactor multiplies the cost of servers where the attempt would wait
 	// for a permit, since the attempts that wait there already aren't known.
 	queueFactor = 1.5
-	// failingTier is above the tier of servers that work, and restingTier above
+	// failingTier is above the tier of servers that work, and backoffTier above
 	// both. No server of it is chosen.
 	failingTier = 1
-	restingTier = 2
+	backoffTier = 2
 )
 
 // Selector prefers the cheaper of two random servers, by the host's own
@@ -53,7 +53,7 @@
 // replica is always cheaper, and then with all of its traffic at once.
 func (s *Selector) Select(candidates []ebonyworks.Candidate) (int, bool) {
 	if len(candidates) == 1 {
-		return 0, candidates[0].Rest <= 0
+		return 0, candidates[0].Backoff <= 0
 	}
 	if !anyTakesRequests(candidates) {
 		return 0, false
@@ -194,10 +194,10 @@
 	return sum / float64(known)
 }
 
-// anyTakesRequests reports whether at least one server doesn't rest.
+// anyTakesRequests reports whether at least one server isn't in backoff.
 func anyTakesRequests(candidates []ebonyworks.Candidate) bool {
 	for i := range candidates {
-		if candidates[i].Rest <= 0 {
+		if candidates[i].Backoff <= 0 {
 			return true
 		}
 	}
@@ -205,8 +205,8 @@
 }
 
 func tierOf(candidate *ebonyworks.Candidate) int {
-	if candidate.Rest > 0 {
-		return restingTier
+	if candidate.Backoff > 0 {
+		return backoffTier
 	}
 	if candidate.Failing {
 		return failingTier
--- /dev/null
+++ b/coordination/upstream/ask.go
@@ -0,0 +1,131 @@
+package upstream
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
+	"github.com/ebonyworks/ebonyworks/event"
+)
+
+// answer is what a host told.
+type answer struct {
+	host   ebonyworks.Host
+	report ebonyworks.StoreReport
+	ok     bool
+}
+
+// firstAnswer asks all hosts at once and follows the first that knows the state
+// of the store.
+func (u *Upstream) firstAnswer(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision) (ebonyworks.StoreListing, bool) {
+	return u.first(ctx, hosts, after, func(*ebonyworks.StoreReport) bool { return true })
+}
+
+// news asks all hosts at once and follows the first that knows more than this one.
+func (u *Upstream) news(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision) (ebonyworks.StoreListing, bool) {
+	return u.first(ctx, hosts, after, func(report *ebonyworks.StoreReport) bool { return report.AsOf > after })
+}
+
+// first asks all hosts at once and follows the first whose report is wanted.
+func (u *Upstream) first(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision, wanted func(*ebonyworks.StoreReport) bool) (ebonyworks.StoreListing, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, len(hosts))
+	asked := 0
+	for _, host := range hosts {
+		// A watch that was given up says nothing about the hosts that weren't asked.
+		if ctx.Err() != nil || u.isAvoided(host.ID, time.Now()) {
+			continue
+		}
+		asked++
+		go func() {
+			report, ok := u.ask(ctx, host, after, 0, answerTime)
+			answers <- answer{host, report, ok}
+		}()
+	}
+	for range asked {
+		if first := <-answers; first.ok && wanted(&first.report) {
+			u.follow(first.host, &first.report)
+			return first.report.StoreListing, true
+		}
+	}
+	return ebonyworks.StoreListing{}, false
+}
+
+// checkBehind notes that a watch was given up.
+func (u *Upstream) checkBehind(ctx context.Context) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.behind = u.behind || ctx.Err() != nil
+}
+
+// takeBehind reports once whether the last watch was given up.
+func (u *Upstream) takeBehind() bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	behind := u.behind
+	u.behind = false
+	return behind
+}
+
+// ask asks another host, and returns false if it doesn't know the state of the
+// store.
+func (u *Upstream) ask(ctx context.Context, host ebonyworks.Host, after ebonyworks.StoreRevision, wait, patience time.Duration) (ebonyworks.StoreReport, bool) {
+	asking, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	asked := time.Now()
+	report, err := u.followContained(asking, host, after, wait)
+	now := time.Now()
+	report.Age += transit(now.Sub(asked), wait)
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	switch {
+	case err != nil && ctx.Err() != nil:
+		// Another host was faster, or the watch was given up since others know
+		// more: then this isn't the one to be asked next.
+		u.avoid(host.ID, now, staleAvoidTime)
+		return ebonyworks.StoreReport{}, false
+	case err != nil:
+		known := u.avoid(host.ID, now, 0)
+		known.failures++
+		u.trouble = "host " + string(host.ID) + ": " + err.Error()
+		known.until = now.Add(wakeup.Spread(min(firstAvoidTime<<min(known.failures-1, 8), maxAvoidTime), u.Random))
+		return ebonyworks.StoreReport{}, false
+	case report.Stale || report.Age > u.part(maxAgePart) || u.isLoop(&report):
+		u.othersLost = u.othersLost || report.Stale
+		u.trouble = "host " + string(host.ID) + ": " + u.defect(&report)
+		u.avoid(host.ID, now, wakeup.Spread(staleAvoidTime, u.Random)).failures = 0
+		return ebonyworks.StoreReport{}, false
+	}
+	delete(u.avoided, host.ID)
+	return report, true
+}
+
+// followContained asks another host. A panic counts as no answer.
+func (u *Upstream) followContained(ctx context.Context, host ebonyworks.Host, after ebonyworks.StoreRevision, wait time.Duration) (report ebonyworks.StoreReport, err error) {
+	defer event.Contain(u.Recorder, func() string {
+		err = event.ErrUnexpected
+		return "report of host " + string(host.ID)
+	})
+	return u.Peers.Follow(ctx, host, after, wait)
+}
+
+// defect tells why a report isn't used.
+func (u *Upstream) defect(report *ebonyworks.StoreReport) string {
+	switch {
+	case report.Stale:
+		return "has no source"
+	case report.Age > u.part(maxAgePart):
+		return "knows the store as of " + report.Age.String() + " ago"
+	default:
+		return "follows this host, or is too far from the store"
+	}
+}
+
+// isLoop reports whether the host follows this one, so that what it knows comes
+// from here, or is too many hosts away from the store.
+func (u *Upstream) isLoop(report *ebonyworks.StoreReport) bool {
+	return len(report.Via) >= maxVia || slices.Contains(report.Via, u.Self.ID)
+}
--- a/event/server.go
+++ b/event/server.go
@@ -13,8 +13,8 @@
 	ServerFailing ebonyworks.EventID = 6003
 	// ServerRecovered is recorded when a failing backend server serves again.
 	ServerRecovered ebonyworks.EventID = 6004
-	// ServerResting is recorded when a backend server asks this host for no requests for a time.
-	ServerResting ebonyworks.EventID = 6005
+	// ServerBackoff is recorded when a backend server asks this host for no requests for a time.
+	ServerBackoff ebonyworks.EventID = 6005
 	// ServerUnreachable is recorded for the first connection to a backend server that fails after one that was opened.
 	ServerUnreachable ebonyworks.EventID = 6501
 	// ServerReachable is recorded when a connection is opened after one that failed.
@@ -30,7 +30,7 @@
 	{ID: ServerReturned, Level: Info, Message: "backend server returned", Action: "None."},
 	{ID: ServerFailing, Level: Warning, Message: "backend server is failing", Action: "Look at the server if it doesn't recover."},
 	{ID: ServerRecovered, Level: Info, Message: "backend server recovered", Action: "None."},
-	{ID: ServerResting, Level: Info, Message: "backend server asks for no requests for a time", Action: "Look at the load of the server if it is frequent."},
+	{ID: ServerBackoff, Level: Info, Message: "backend server asks for no requests for a time", Action: "Look at the load of the server if it is frequent."},
 	{ID: ServerUnreachable, Level: Warning, Message: "backend server is unreachable", Action: "Check the server if it should be running."},
 	{ID: ServerReachable, Level: Info, Message: "backend server is reachable again", Action: "None."},
 	{ID: ServerReplyInvalid, Level: Warning, Message: "reply of backend server is invalid", Action: "Check the version and the address of the server."},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -48,9 +48,9 @@
 		}
 		out.ObserveInt64(storeRead, instrument.Flag(g.upstream.Reads()))
 		out.ObserveInt64(storeCalls, int64(g.upstream.Calls()))
-		leaving, resting := g.register.Withdrawn()
+		leaving, backoff := g.register.Withdrawn()
 		out.ObserveInt64(withdrawn, int64(leaving), state("leaving"))
-		out.ObserveInt64(withdrawn, int64(resting), state("resting"))
+		out.ObserveInt64(withdrawn, int64(backoff), state("backoff"))
 		return nil
 	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls, withdrawn)
 	if err != nil {
--- a/policy.go
+++ b/policy.go
@@ -35,9 +35,9 @@
 	// Probe is set if the server is slow and should get a copy of a request, to
 	// see if it has recovered. The request itself goes to another server.
 	Probe bool
-	// Rest is how long the server still wants no request of this host; zero if it
-	// takes some. A resting server is never selected.
-	Rest time.Duration
+	// Backoff is how long the server still wants no request of this host; zero if it
+	// takes some. A server in backoff is never selected.
+	Backoff time.Duration
 }
 
 // Clearance tells whether a server may be sent a request now. The zero value lets
@@ -45,12 +45,12 @@
 type Clearance struct {
 	// Leaving is set if the server gets no more work.
 	Leaving bool
-	// Rest is how long it still wants no request of this host.
-	Rest time.Duration
+	// Backoff is how long it still wants no request of this host.
+	Backoff time.Duration
 }
 
 // Granted reports whether the request may be sent.
-func (c Clearance) Granted() bool { return !c.Leaving && c.Rest <= 0 }
+func (c Clearance) Granted() bool { return !c.Leaving && c.Backoff <= 0 }
 
 // Selection chooses among replicas.
 type Selection interface {
--- a/soak/withdrawal_test.go
+++ b/soak/withdrawal_test.go
@@ -13,10 +13,10 @@
 	// drainTime is the time after which a server that said that it is leaving must
 	// get no new work.
 	drainTime = 3 * time.Second
-	// restSlack is how long after its refusal a server may still get requests, and
-	// maxInRest how many it may get after that.
-	restSlack = 500 * time.Millisecond
-	maxInRest = 2
+	// backoffSlack is how long after its refusal a server may still get requests, and
+	// maxInBackoff how many it may get after that.
+	backoffSlack = 500 * time.Millisecond
+	maxInBackoff = 2
 )
 
 // notice is what one host was told of one life of a server.
@@ -26,20 +26,20 @@
 	life   int
 }
 
-// restNotice is the first refusal of a host with a time.
-type restNotice struct {
+// backoffNotice is the first refusal of a host with a time.
+type backoffNotice struct {
 	at, until time.Time
-	// reached counts the requests from there after restSlack.
+	// reached counts the requests from there after backoffSlack.
 	reached int
 }
 
-// withdraw lets a server ask for rest, leave, or begin a new life.
+// withdraw lets a server ask for a backoff, leave, or begin a new life.
 func (s *site) withdraw(random *rand.Rand) {
 	b := s.servers[random.IntN(len(s.servers))]
-	rest := 300*time.Millisecond + time.Duration(random.Int64N(int64(5*time.Second)))
+	backoff := 300*time.Millisecond + time.Duration(random.Int64N(int64(5*time.Second)))
 	switch random.IntN(5) {
 	case 0, 1:
-		b.set(func() { b.restUntil = time.Now().Add(rest) })
+		b.set(func() { b.backoffUntil = time.Now().Add(backoff) })
 	case 2:
 		b.set(func() { b.leaving = true })
 	case 3:
@@ -51,7 +51,7 @@
 func (s *site) beginLife(b *backend) {
 	b.set(func() {
 		b.born++
-		b.leaving, b.restUntil, b.told = false, time.Time{}, nil
+		b.leaving, b.backoffUntil, b.told = false, time.Time{}, nil
 	})
 	s.announce(b, "ready")
 }
@@ -76,29 +76,29 @@
 	return host
 }
 
-// resting returns how long the server still rests, and checks that the host of the
+// backoff returns how long the server still wants no requests, and checks that the host of the
 // request obeys what it was told. A smaller host has its requests sent by larger
 // ones, which the server can't tell apart, so only fleets of one size are checked.
-func (b *backend) resting(id string) time.Duration {
+func (b *backend) backoff(id string) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := time.Now()
 	host := hostOf(id)
-	if known := b.told[host]; known != nil && now.After(known.at.Add(restSlack)) && now.Before(known.until) {
-		if known.reached++; known.reached > maxInRest && !*sizes && b.site.undisturbed(host, b, known.at) {
-			b.ledger.problem("server %s got %s from host %d, %s after it had asked it for rest", b.id, id, host, now.Sub(known.at))
+	if known := b.told[host]; known != nil && now.After(known.at.Add(backoffSlack)) && now.Before(known.until) {
+		if known.reached++; known.reached > maxInBackoff && !*sizes && b.site.undisturbed(host, b, known.at) {
+			b.ledger.problem("server %s got %s from host %d, %s after it had asked it for a backoff", b.id, id, host, now.Sub(known.at))
 		}
 	}
-	rest := b.restUntil.Sub(now)
-	if rest > 0 && host >= 0 {
+	left := b.backoffUntil.Sub(now)
+	if left > 0 && host >= 0 {
 		if b.told == nil {
-			b.told = make(map[int]*restNotice)
+			b.told = make(map[int]*backoffNotice)
 		}
 		if known := b.told[host]; known == nil || now.After(known.until) {
-			b.told[host] = &restNotice{at: now, until: b.restUntil}
+			b.told[host] = &backoffNotice{at: now, until: b.backoffUntil}
 		}
 	}
-	return rest
+	return left
 }
 
 // checkLeaving returns whether the server says that it leaves, and its life. It
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -195,11 +195,11 @@
 	// born numbers the lives of the server, from 0.
 	born int
 	// leaving is set while the server says in its answers that it leaves, and
-	// restUntil is until when it refuses requests and wants none.
-	leaving   bool
-	restUntil time.Time
+	// backoffUntil is until when it refuses requests and wants none.
+	leaving      bool
+	backoffUntil time.Time
 	// told are the refusals with a time, by host.
-	told map[int]*restNotice
+	told map[int]*backoffNotice
 	site *site
 }
 
@@ -267,8 +267,8 @@
 	case fault == "shed":
 		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
-	if rest := b.resting(id); rest > 0 {
-		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", id, rest.Seconds())
+	if backoff := b.backoff(id); backoff > 0 {
+		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", id, backoff.Seconds())
 	}
 	leaving, life := b.checkLeaving(id)
 	if !leftAt.IsZero() && time.Since(leftAt) > drainBound {
--- a/state/register/farewell.go
+++ b/state/register/availability.go
@@ -8,24 +8,24 @@
 )
 
 const (
-	// MaxRest bounds how long a server rests. One that wants no work for longer
-	// leaves; a new incarnation ends the rest.
-	MaxRest = 7 * 24 * time.Hour
-	// returnSpread is the part of a rest, and maxReturnSpread the time, within which
+	// MaxBackoff bounds how long a server gets no requests. One that wants no work for longer
+	// leaves; a new incarnation ends the backoff.
+	MaxBackoff = 7 * 24 * time.Hour
+	// returnSpread is the part of a backoff, and maxReturnSpread the time, within which
 	// the hosts return to the server, so that they don't return at one moment.
 	returnSpread    = 0.25
 	maxReturnSpread = 500 * time.Millisecond
-	// maxFarewells bounds the servers that are remembered without a registration.
-	maxFarewells = 4096
+	// maxTombstones bounds the servers that are remembered without a registration.
+	maxTombstones = 4096
 )
 
-// farewell is what one incarnation of a server said about the requests that it
+// tombstone is what one incarnation of a server said about the requests that it
 // wants. It outlives the server's record: a registration that lapses and comes back
 // is no new incarnation.
-type farewell struct {
-	incarnation ebonyworks.Incarnation
-	announced   time.Time
-	restUntil   time.Time
+type tombstone struct {
+	incarnation  ebonyworks.Incarnation
+	announced    time.Time
+	backoffUntil time.Time
 	// at is when the registration went.
 	at time.Time
 }
@@ -56,10 +56,10 @@
 	if known.leaving && !r.mayStillServe(known, now) {
 		return ebonyworks.Clearance{Leaving: true}
 	}
-	return ebonyworks.Clearance{Rest: known.rest(now)}
+	return ebonyworks.Clearance{Backoff: known.backoffLeft(now)}
 }
 
-// Avoided returns the servers that get no request now: they leave or rest. It is nil
+// Avoided returns the servers that get no request now: they are leaving or in backoff. It is nil
 // if there are none.
 func (r *Register) Avoided() map[ebonyworks.ServerID]bool {
 	r.mutex.Lock()
@@ -67,7 +67,7 @@
 	now := time.Now()
 	var avoided map[ebonyworks.ServerID]bool
 	for id, known := range r.servers {
-		if !known.leaving && known.rest(now) <= 0 {
+		if !known.leaving && known.backoffLeft(now) <= 0 {
 			continue
 		}
 		if avoided == nil {
@@ -78,8 +78,8 @@
 	return avoided
 }
 
-// Withdrawn counts the servers that are leaving, and those that rest.
-func (r *Register) Withdrawn() (leaving, resting int) {
+// Withdrawn counts the servers that are leaving, and those in backoff.
+func (r *Register) Withdrawn() (leaving, backoff int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
@@ -87,70 +87,70 @@
 		switch {
 		case known.leaving:
 			leaving++
-		case known.rest(now) > 0:
-			resting++
+		case known.backoffLeft(now) > 0:
+			backoff++
 		}
 	}
-	return leaving, resting
+	return leaving, backoff
 }
 
 // mayStillServe reports whether a server that is leaving may get requests while no
 // other server takes any. Only its own announcement opens that time.
 func (r *Register) mayStillServe(known *record, now time.Time) bool {
-	return r.LeavingGrace > 0 && !known.announced.IsZero() && now.Sub(known.announced) < r.LeavingGrace && known.rest(now) <= 0
+	return r.LeavingGrace > 0 && !known.announced.IsZero() && now.Sub(known.announced) < r.LeavingGrace && known.backoffLeft(now) <= 0
 }
 
-// rest takes the server out for the time. It then returns slowly.
-func (r *Register) rest(known *record, server ebonyworks.ServerID, length time.Duration, now time.Time) {
-	length = min(length, MaxRest)
+// backOff takes the server out for the time. It then returns slowly.
+func (r *Register) backOff(known *record, server ebonyworks.ServerID, length time.Duration, now time.Time) {
+	length = min(length, MaxBackoff)
 	until := now.Add(length)
-	if !until.After(known.restUntil) {
+	if !until.After(known.backoffUntil) {
 		return
 	}
-	if known.rest(now) <= 0 {
-		r.record(event.ServerResting, server, event.Attribute("For", length.String()))
+	if known.backoffLeft(now) <= 0 {
+		r.record(event.ServerBackoff, server, event.Attribute("For", length.String()))
 	}
 	spread := min(time.Duration(returnSpread*float64(length)), maxReturnSpread)
-	known.restUntil = until.Add(time.Duration(r.chance() * float64(spread)))
-	known.rampSince = known.restUntil
+	known.backoffUntil = until.Add(time.Duration(r.chance() * float64(spread)))
+	known.rampSince = known.backoffUntil
 	known.rampTime = min(length, RampTime)
 }
 
 // remember keeps what the server said about the requests that it wants.
 func (r *Register) remember(id ebonyworks.ServerID, known *record, now time.Time) {
-	if known.announced.IsZero() && known.rest(now) <= 0 {
+	if known.announced.IsZero() && known.backoffLeft(now) <= 0 {
 		return
 	}
-	if r.farewells == nil {
-		r.farewells = make(map[ebonyworks.ServerID]farewell)
+	if r.tombstones == nil {
+		r.tombstones = make(map[ebonyworks.ServerID]tombstone)
 	}
-	if len(r.farewells) >= maxFarewells {
+	if len(r.tombstones) >= maxTombstones {
 		r.forgetOldest()
 	}
-	r.farewells[id] = farewell{incarnation: known.incarnation, announced: known.announced, restUntil: known.restUntil, at: now}
+	r.tombstones[id] = tombstone{incarnation: known.incarnation, announced: known.announced, backoffUntil: known.backoffUntil, at: now}
 }
 
 func (r *Register) forgetOldest() {
 	var oldest ebonyworks.ServerID
-	for id, said := range r.farewells {
-		if oldest == "" || said.at.Before(r.farewells[oldest].at) {
+	for id, said := range r.tombstones {
+		if oldest == "" || said.at.Before(r.tombstones[oldest].at) {
 			oldest = id
 		}
 	}
-	delete(r.farewells, oldest)
+	delete(r.tombstones, oldest)
 }
 
 // recall gives a new record what the server said while an earlier one was kept.
 func (r *Register) recall(id ebonyworks.ServerID, known *record) {
-	said, found := r.farewells[id]
+	said, found := r.tombstones[id]
 	if !found {
 		return
 	}
-	delete(r.farewells, id)
+	delete(r.tombstones, id)
 	known.incarnation = said.incarnation
 	known.announced = said.announced
 	known.leaving = !said.announced.IsZero()
-	known.restUntil = said.restUntil
+	known.backoffUntil = said.backoffUntil
 }
 
 // announce records that the server itself said that it is leaving.
@@ -160,7 +160,7 @@
 	}
 }
 
-// rest returns how long the server still wants no request.
-func (k *record) rest(now time.Time) time.Duration {
-	return max(k.restUntil.Sub(now), 0)
+// backoffLeft returns how long the server still wants no request.
+func (k *record) backoffLeft(now time.Time) time.Duration {
+	return max(k.backoffUntil.Sub(now), 0)
 }
--- a/state/register/farewell_test.go
+++ b/state/register/availability_test.go
@@ -13,17 +13,17 @@
 	"github.com/ebonyworks/ebonyworks/state/register"
 )
 
-func shed(rest time.Duration) ebonyworks.AttemptRecord {
-	return ebonyworks.AttemptRecord{Server: "a", Result: ebonyworks.AttemptShed, RetryAfter: rest}
+func shed(backoff time.Duration) ebonyworks.AttemptRecord {
+	return ebonyworks.AttemptRecord{Server: "a", Result: ebonyworks.AttemptShed, RetryAfter: backoff}
 }
 
 func says(server ebonyworks.ServerID, life ebonyworks.Incarnation) ebonyworks.AttemptRecord {
 	return ebonyworks.AttemptRecord{Server: server, Result: ebonyworks.AttemptServed, Report: ebonyworks.ServerReport{Incarnation: life, Leaving: true}}
 }
 
-// Guards against a rest that is cut short, or doesn't end, and against requests that
+// Guards against a backoff that is cut short, or doesn't end, and against requests that
 // all come back at its end.
-func TestRest(t *testing.T) {
+func TestBackoff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &register.Register{ProbeByRequest: true}
 		r.Depart(ebonyworks.Departure{Server: "a", Incarnation: 1})
@@ -31,15 +31,15 @@
 		time.Sleep(time.Second)
 		r.Observe(shed(time.Second))
 		candidates := func() ebonyworks.Candidate { return r.Candidates(service, searches, "Sapporo", nil)[0] }
-		assert.GreaterOrEqual(t, candidates().Rest, 3*time.Second, "a shorter time doesn't end the rest")
+		assert.GreaterOrEqual(t, candidates().Backoff, 3*time.Second, "a shorter time doesn't end the backoff")
 		assert.False(t, candidates().Probe)
 		assert.Empty(t, r.Due(service.Servers[:1], 1))
-		_, resting := r.Withdrawn()
-		assert.Equal(t, 1, resting)
+		_, backoff := r.Withdrawn()
+		assert.Equal(t, 1, backoff)
 		time.Sleep(3 * time.Second)
-		assert.LessOrEqual(t, candidates().Rest, 500*time.Millisecond)
+		assert.LessOrEqual(t, candidates().Backoff, 500*time.Millisecond)
 		time.Sleep(500 * time.Millisecond)
-		assert.Zero(t, candidates().Rest)
+		assert.Zero(t, candidates().Backoff)
 		assert.Less(t, candidates().Share, 0.3)
 		time.Sleep(4 * time.Second)
 		assert.InDelta(t, 1, candidates().Share, 1e-9)
@@ -53,9 +53,9 @@
 		for i := range 50 {
 			r := &register.Register{Random: mathrand.New(mathrand.NewPCG(uint64(i), 7))}
 			r.Observe(shed(4 * time.Second))
-			rest := r.Clearance("a").Rest
-			assert.GreaterOrEqual(t, rest, 4*time.Second)
-			seen[rest.Round(10*time.Millisecond)] = true
+			backoff := r.Clearance("a").Backoff
+			assert.GreaterOrEqual(t, backoff, 4*time.Second)
+			seen[backoff.Round(10*time.Millisecond)] = true
 		}
 		assert.Greater(t, len(seen), 20)
 	})
@@ -63,9 +63,9 @@
 
 // Guards against what one life of a server said being applied to another, or
 // forgotten while its registration lapses.
-func TestFarewells(t *testing.T) {
+func TestAvailability(t *testing.T) {
 	leave := func(r *register.Register) { r.Observe(says("a", 2)) }
-	rest := func(r *register.Register) { r.Observe(shed(time.Hour)) }
+	backOff := func(r *register.Register) { r.Observe(shed(time.Hour)) }
 	lapse := func(r *register.Register) {
 		r.RetainServers(map[ebonyworks.ServerID]bool{"b": true})
 		r.RetainServers(map[ebonyworks.ServerID]bool{"a": true, "b": true})
@@ -95,9 +95,9 @@
 		{"leaves, old reading", []func(*register.Register){leave, life(1)}, false},
 		{"leaves, new life", []func(*register.Register){leave, life(3)}, true},
 		{"leaves, lapses, new life", []func(*register.Register){leave, lapse, life(3)}, true},
-		{"rests", []func(*register.Register){rest}, false},
-		{"rests, lapses, same life", []func(*register.Register){rest, lapse, life(2)}, false},
-		{"rests, new life", []func(*register.Register){rest, life(3)}, true},
+		{"backoff", []func(*register.Register){backOff}, false},
+		{"backoff, lapses, same life", []func(*register.Register){backOff, lapse, life(2)}, false},
+		{"backoff, new life", []func(*register.Register){backOff, life(3)}, true},
 		{"earlier life", []func(*register.Register){earlier}, true},
 		{"told by a peer", []func(*register.Register){announce}, false},
 		{"told by a peer, lapses", []func(*register.Register){announce, lapse}, false},
@@ -116,7 +116,7 @@
 }
 
 // Guards against state for servers that left long ago.
-func TestFarewellsAreBounded(t *testing.T) {
+func TestTombstonesAreBounded(t *testing.T) {
 	r := &register.Register{}
 	for i := range 6000 {
 		id := ebonyworks.ServerID(fmt.Sprint(i))
--- a/state/register/candidates.go
+++ b/state/register/candidates.go
@@ -8,7 +8,7 @@
 )
 
 // Candidates returns the servers of the service that the route may use and
-// that aren't leaving, in the order of the configuration; those that rest say for
+// that aren't leaving, in the order of the configuration; those in backoff say for
 // how long. If none of them takes requests, servers that have just begun to leave
 // follow. The quota supplies the attempts in flight; nil means none.
 //
@@ -102,10 +102,10 @@
 			r.compare(known, best, now)
 			r.describe(known, &candidate, mayProbe, now)
 		}
-		if explores && candidate.Rest == 0 && (known == nil || known.typical == 0) && r.takeTrial(server.ID, now) {
+		if explores && candidate.Backoff == 0 && (known == nil || known.typical == 0) && r.takeTrial(server.ID, now) {
 			candidate.Probe = true
 		}
-		spare = spare && candidate.Rest > 0
+		spare = spare && candidate.Backoff > 0
 		candidates = append(candidates, candidate)
 	}
 	if !spare {
@@ -150,7 +150,7 @@
 // takeTrial reports whether a server without samples is due for a probe.
 func (r *Register) takeTrial(id ebonyworks.ServerID, now time.Time) bool {
 	known := r.open(id)
-	if known == nil || known.failing() || known.leaving || known.rest(now) > 0 || now.Before(known.nextProbe) {
+	if known == nil || known.failing() || known.leaving || known.backoffLeft(now) > 0 || now.Before(known.nextProbe) {
 		return false
 	}
 	known.nextProbe = now.Add(r.jitter(firstSlowInterval))
@@ -177,7 +177,7 @@
 
 func (r *Register) describe(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
 	candidate.Incarnation = known.incarnation
-	candidate.Rest = known.rest(now)
+	candidate.Backoff = known.backoffLeft(now)
 	candidate.Latency = known.decayed(now)
 	if known.slow {
 		// The advantage of being near is a small part of a straggler's latency
@@ -192,7 +192,7 @@
 		candidate.Demand = known.demand
 	}
 	candidate.Failing = known.failing()
-	if candidate.Rest > 0 {
+	if candidate.Backoff > 0 {
 		return
 	}
 	if known.slow && !candidate.Failing && mayProbe && r.takeProbe(known, now) {
@@ -222,7 +222,7 @@
 }
 
 func (r *Register) takeStatus(known *record, now time.Time) bool {
-	if known.rest(now) > 0 {
+	if known.backoffLeft(now) > 0 {
 		return false
 	}
 	if known.failing() {
--- a/state/register/learn.go
+++ b/state/register/learn.go
@@ -19,7 +19,7 @@
 	r.learnReport(known, attempt, now)
 	r.learnResult(known, attempt, now)
 	if attempt.RetryAfter > 0 && isCurrent(known, attempt.Report) {
-		r.rest(known, attempt.Server, attempt.RetryAfter, now)
+		r.backOff(known, attempt.Server, attempt.RetryAfter, now)
 	}
 }
 
@@ -83,7 +83,7 @@
 	}
 	known.leaving = false
 	known.announced = time.Time{}
-	known.restUntil = time.Time{}
+	known.backoffUntil = time.Time{}
 	known.rampSince = now
 	known.rampTime = 0
 	known.latency = 0
--- a/state/register/record.go
+++ b/state/register/record.go
@@ -18,8 +18,8 @@
 	// announced is when the server itself first said that this incarnation is
 	// leaving; zero if it didn't.
 	announced time.Time
-	// restUntil is until when this incarnation wants no request of this host.
-	restUntil time.Time
+	// backoffUntil is until when this incarnation wants no request of this host.
+	backoffUntil time.Time
 	// rampSince is the start of the slow start, and rampTime its length; zero means
 	// RampTime.
 	rampSince time.Time
--- a/state/register/register.go
+++ b/state/register/register.go
@@ -85,8 +85,8 @@
 	mutex sync.Mutex
 	// servers has at most MaxServers entries.
 	servers map[ebonyworks.ServerID]*record
-	// farewells has at most maxFarewells entries.
-	farewells map[ebonyworks.ServerID]farewell
+	// tombstones has at most maxTombstones entries.
+	tombstones map[ebonyworks.ServerID]tombstone
 	// retained is set once a configuration has named the servers.
 	retained bool
 	// staleBefore is the time of the latest resume from a pause.
