--- a/coordination/fanout/withdrawal_test.go
+++ b/coordination/fanout/withdrawal_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,6 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/ebonyworks/ebonyworks"
-	"github.com/ebonyworks/ebonyworks/coordination/delegation"
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
 	"github.com/ebonyworks/ebonyworks/state/register"
@@ -282,12 +282,13 @@
 					for _, replica := range []string{"a", "b"} {
 						known.register.Depart(ebonyworks.Departure{Server: server(0, replica), Incarnation: 1})
 					}
-					w.Backend = scripted{w, func() (ebonyworks.ForwardAttempt, time.Duration) { return test.ends, usual }}
+					backend := &scripted{world: w, ends: test.ends}
+					w.Backend = backend
 					go w.ask("/one/first")
 					go w.ask("/one/second")
 					if late {
 						time.Sleep(usual / 2)
-						w.Backend = w
+						backend.end()
 						w.restart(known.register)
 						time.Sleep(timeout)
 					} else {
@@ -295,7 +296,7 @@
 						reply, elapsed := w.ask("/one/third")
 						assert.Equal(t, ebonyworks.ReplyRefused, reply.Kind)
 						assert.Zero(t, elapsed, "refused at once")
-						w.Backend = w
+						backend.end()
 						w.restart(known.register)
 					}
 					reply, _ := w.ask("/one/fourth")
@@ -316,16 +317,21 @@
 	}
 }
 
-// scripted answers each request alike.
+// scripted answers each request alike until it ends.
 type scripted struct {
 	*world
-	answer func() (ebonyworks.ForwardAttempt, time.Duration)
+	ends  ebonyworks.ForwardAttempt
+	ended atomic.Bool
 }
 
-func (s scripted) Send(context.Context, ebonyworks.Server, *ebonyworks.ForwardRequest, time.Time) ebonyworks.ForwardAttempt {
-	ends, takes := s.answer()
-	time.Sleep(takes)
-	return ends
+func (s *scripted) end() { s.ended.Store(true) }
+
+func (s *scripted) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
+	if s.ended.Load() {
+		return s.world.Send(ctx, to, request, deadline)
+	}
+	time.Sleep(usual)
+	return s.ends
 }
 
 // Guards against a shard that is lost at once because all its servers say that they
@@ -335,7 +341,7 @@
 		known := servers{register: &register.Register{ProbeByRequest: true, LeavingGrace: drainTime / 3}, quota: quota.NewExclusive(8)}
 		w.Servers, w.Quota = known, known.quota
 		leaving := ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptServed, Report: ebonyworks.ServerReport{Leaving: true}, Response: ebonyworks.ServerResponse{Status: 200, Signature: "s"}}
-		w.Backend = scripted{w, func() (ebonyworks.ForwardAttempt, time.Duration) { return leaving, usual }}
+		w.Backend = &scripted{world: w, ends: leaving}
 		begin := time.Now()
 		for i := range 100 {
 			reply, elapsed := w.ask(fmt.Sprintf("/one/%d", i))
@@ -400,10 +406,16 @@
 	return ebonyworks.ForwardReply{}, ebonyworks.DeliveryUnknown
 }
 
-// soundPeer runs each request on the larger host.
-type soundPeer struct{ larger *fanout.Forwarder }
+// firstPeer runs the first request on the larger host, and loses the others.
+type firstPeer struct {
+	larger *fanout.Forwarder
+	asked  atomic.Int64
+}
 
-func (p soundPeer) Forward(ctx context.Context, _ ebonyworks.Host, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+func (p *firstPeer) Forward(ctx context.Context, _ ebonyworks.Host, request *ebonyworks.ForwardRequest, terms ebonyworks.Delegation) (ebonyworks.ForwardReply, ebonyworks.Delivery) {
+	if p.asked.Add(1) > 1 {
+		return ebonyworks.ForwardReply{}, ebonyworks.DeliveryUnknown
+	}
 	copied := *request
 	reply, _ := p.larger.ForwardFor(ctx, &copied, terms)
 	return reply, ebonyworks.Delivered
@@ -414,22 +426,22 @@
 func TestDelegatedReplyTellsWhoLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWithdrawalWorld(t, 1)
-		delegating := w.small.Delegation.(*delegation.Delegator)
-		delegating.Peer = soundPeer{w.large.Forwarder}
+		w.small.Delegation = delegator("b", &firstPeer{larger: w.large.Forwarder}, w.small.register.Announce)
 		// Both hosts prefer the same servers.
 		w.small.Domain = "a"
 		for _, replica := range []string{"a", "b"} {
 			w.state[server(7, replica)].leaving = true
 		}
 		w.send("small", w.small, "first")
-		delegating.Peer = lostPeer{}
 		time.Sleep(drainTime)
 		w.send("small", w.small, "second")
+		time.Sleep(time.Minute)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
 		assert.NotEmpty(t, w.passed)
 		for _, one := range w.visits {
 			told := w.passed[one.lifeAt]
 			assert.False(t, !told.IsZero() && one.at.After(told), "%s to %s", one.host, one.server)
 		}
-		time.Sleep(time.Minute)
 	})
 }
