--- a/coordination/fanout/backoff_test.go
+++ b/coordination/fanout/backoff_test.go
@@ -54,10 +54,11 @@
 // Send refuses the request while the servers are in backoff.
 func (h backoffHost) Send(ctx context.Context, to ebonyworks.Server, request *ebonyworks.ForwardRequest, deadline time.Time) ebonyworks.ForwardAttempt {
 	now := time.Now()
+	h.mutex.Lock()
 	if now.Before(h.backoffFrom) || !now.Before(h.backoffUntil) {
+		h.mutex.Unlock()
 		return h.fleet.Send(ctx, to, request, deadline)
 	}
-	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	key := backoffKey{h.host, to.ID}
 	if h.told[key].IsZero() {
@@ -134,12 +135,16 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := newBackoffFleet(t)
 					f.ask(load, 2*time.Second)
+					f.mutex.Lock()
 					f.backoffFrom = time.Now()
 					f.backoffUntil = f.backoffFrom.Add(backoff)
+					f.mutex.Unlock()
 					during := f.ask(load, backoff)
 					after := f.ask(load, time.Second)
 					t.Logf("during: credit %.2f of %d, in time %d, late %d, refused %d, held %s; after: credit %.2f, refused %d",
 						during.credit(), during.asked, during.inTime, during.late, during.refused, during.held/time.Duration(max(during.asked, 1)), after.credit(), after.refused)
+					f.mutex.Lock()
+					defer f.mutex.Unlock()
 					for key, count := range f.reached {
 						assert.LessOrEqual(t, count, 2, "%v", key)
 					}
--- a/coordination/fanout/withdrawal_test.go
+++ b/coordination/fanout/withdrawal_test.go
@@ -241,6 +241,8 @@
 }
 
 func (w *withdrawalWorld) checkDrain(t *testing.T) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	late := 0
 	for _, one := range w.visits {
 		if told := w.passed[one.lifeAt]; !told.IsZero() && one.sent.After(told.Add(drainTime)) {
@@ -252,6 +254,8 @@
 }
 
 func (w *withdrawalWorld) checkBackoffs(t *testing.T) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	for _, asked := range w.refused {
 		count := 0
 		for _, one := range w.visits {
@@ -429,9 +433,11 @@
 		w.small.Delegation = delegator("b", &firstPeer{larger: w.large.Forwarder}, w.small.register.Announce)
 		// Both hosts prefer the same servers.
 		w.small.Domain = "a"
+		w.mutex.Lock()
 		for _, replica := range []string{"a", "b"} {
 			w.state[server(7, replica)].leaving = true
 		}
+		w.mutex.Unlock()
 		w.send("small", w.small, "first")
 		time.Sleep(drainTime)
 		w.send("small", w.small, "second")
