Remember over watches that peers know more

What callers see: a change of the configuration or a server that leaves takes effect after its bound on the hosts of up to three domains.

Cause, by the events of a failing run: three readers lose the store silently, turn to the first host that answers, and that one is behind as well. Their followers renew their watches each second, and each new watch forgot that peers knew more, so no watch was ever given up (no event 4110) until reports were too old to be used, after 5 s.

Ruled out: the gossip (all hosts had heard of the revision within 2 s) and avoided hosts.

What peers know is now kept until the host has caught up. TestRenewedWatchesAreGivenUp failed before.

--- a/coordination/registry/follower.go
+++ b/coordination/registry/follower.go
@@ -72,7 +72,8 @@
 	giveUp context.CancelFunc
 	// advanced is closed when asOf grows; nil while nobody waits for that.
 	advanced chan struct{}
-	// behindSince is since when a peer is known to know more.
+	// behindSince is since when a peer is known to know more, over all watches
+	// meanwhile that showed nothing.
 	behindSince time.Time
 	// heard is the newest revision of the store that a peer named.
 	heard ebonyworks.StoreRevision
@@ -224,7 +225,6 @@
 	defer cancel()
 	f.mutex.Lock()
 	f.giveUp = cancel
-	f.behindSince = time.Time{}
 	f.mutex.Unlock()
 	changes, err := f.Store.Watch(ctx, after, wait)
 	if err != nil && ctx.Err() != nil {
--- a/coordination/registry/follower_test.go
+++ b/coordination/registry/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/registry"
 	"github.com/ebonyworks/ebonyworks/coordination/upstream"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/standin/metadata"
 	"github.com/ebonyworks/ebonyworks/state/directory"
 )
@@ -38,7 +40,12 @@
 
 func follow(t *testing.T, s *store) *registry.Follower {
 	t.Helper()
-	follower := &registry.Follower{Store: &upstream.Upstream{Store: s.Reader("host")}, Directory: &directory.Directory{}}
+	return followSource(t, &upstream.Upstream{Store: s.Reader("host")})
+}
+
+func followSource(t *testing.T, source ebonyworks.StoreReader) *registry.Follower {
+	t.Helper()
+	follower := &registry.Follower{Store: source, Directory: &directory.Directory{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -344,3 +351,37 @@
 		<-done
 	})
 }
+
+// behind is a source whose watches show nothing and end soon, until one of them is
+// given up.
+type behind struct {
+	ebonyworks.StoreReader
+	givenUp atomic.Bool
+}
+
+// Watch returns changes only after a watch was given up.
+func (b *behind) Watch(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) (ebonyworks.StoreListing, error) {
+	if b.givenUp.Load() {
+		return b.StoreReader.Watch(ctx, after, wait)
+	}
+	if !wakeup.Wait(ctx, min(wait, 500*time.Millisecond), nil) {
+		b.givenUp.Store(true)
+		return ebonyworks.StoreListing{}, ctx.Err()
+	}
+	return ebonyworks.StoreListing{AsOf: after}, nil
+}
+
+// Guards against a host that forgets with each new watch that its peers know more,
+// so that it stays with a source that is behind.
+func TestRenewedWatchesAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		follower := followSource(t, &behind{StoreReader: s.Reader("host")})
+		time.Sleep(time.Minute)
+		s.configure(2)
+		follower.Heard(ebonyworks.StoreRevision(2))
+		time.Sleep(1100 * time.Millisecond)
+		assert.Equal(t, 2, revision(follower))
+	})
+}
--- a/coordination/upstream/ask.go
+++ b/coordination/upstream/ask.go
@@ -17,21 +17,54 @@
 	ok     bool
 }
 
-// firstAnswer asks all hosts at once and follows the first that knows the state
-// of the store.
+// firstAnswer asks all hosts at once and follows one that knows more than this one or,
+// if there is none, the first that answered.
 func (u *Upstream) firstAnswer(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision) (ebonyworks.StoreListing, bool) {
-	return u.first(ctx, hosts, after, func(*ebonyworks.StoreReport) bool { return true })
+	return u.first(ctx, hosts, after, true)
 }
 
 // news asks all hosts at once and follows the first that knows more than this one.
 func (u *Upstream) news(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision) (ebonyworks.StoreListing, bool) {
-	return u.first(ctx, hosts, after, func(report *ebonyworks.StoreReport) bool { return report.AsOf > after })
+	return u.first(ctx, hosts, after, false)
 }
 
-// first asks all hosts at once and follows the first whose report is wanted.
-func (u *Upstream) first(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision, wanted func(*ebonyworks.StoreReport) bool) (ebonyworks.StoreListing, bool) {
+// first asks all hosts at once and follows the one that it picks.
+func (u *Upstream) first(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision, allowOld bool) (ebonyworks.StoreListing, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	answers, asked := u.askAll(ctx, hosts, after)
+	picked := pick(answers, asked, after, allowOld)
+	if !picked.ok {
+		return ebonyworks.StoreListing{}, false
+	}
+	u.follow(picked.host, &picked.report)
+	return picked.report.StoreListing, true
+}
+
+// pick returns the first answer with changes after the revision. If old ones are
+// allowed, the first answer stands in for one that doesn't come within transitTime.
+func pick(answers <-chan answer, asked int, after ebonyworks.StoreRevision, allowOld bool) answer {
+	var old answer
+	var late <-chan time.Time
+	for range asked {
+		select {
+		case next := <-answers:
+			if next.ok && next.report.AsOf > after {
+				return next
+			}
+			if next.ok && allowOld && !old.ok {
+				old, late = next, time.After(transitTime)
+			}
+		case <-late:
+			return old
+		}
+	}
+	return old
+}
+
+// askAll asks all hosts that aren't avoided, and returns how many answers there will
+// be.
+func (u *Upstream) askAll(ctx context.Context, hosts []ebonyworks.Host, after ebonyworks.StoreRevision) (<-chan answer, int) {
 	answers := make(chan answer, len(hosts))
 	asked := 0
 	for _, host := range hosts {
@@ -45,13 +78,7 @@
 			answers <- answer{host, report, ok}
 		}()
 	}
-	for range asked {
-		if first := <-answers; first.ok && wanted(&first.report) {
-			u.follow(first.host, &first.report)
-			return first.report.StoreListing, true
-		}
-	}
-	return ebonyworks.StoreListing{}, false
+	return answers, asked
 }
 
 // checkBehind notes that a watch was given up.
--- a/coordination/upstream/silent_test.go
+++ b/coordination/upstream/silent_test.go
@@ -1,12 +1,18 @@
 package upstream_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/upstream"
+	"github.com/ebonyworks/ebonyworks/coordination/wakeup"
 	"github.com/ebonyworks/ebonyworks/standin/metadata"
 )
 
@@ -30,3 +36,36 @@
 		}
 	}
 }
+
+// unequalPeers answer at once, but only the last one has news, and is farther away.
+type unequalPeers struct{ last ebonyworks.HostID }
+
+func (p unequalPeers) Follow(ctx context.Context, host ebonyworks.Host, after ebonyworks.StoreRevision, _ time.Duration) (ebonyworks.StoreReport, error) {
+	if host.ID != p.last {
+		return ebonyworks.StoreReport{StoreListing: ebonyworks.StoreListing{AsOf: after}}, nil
+	}
+	if !wakeup.Wait(ctx, 2*farDelay, nil) {
+		return ebonyworks.StoreReport{}, ctx.Err()
+	}
+	return ebonyworks.StoreReport{StoreListing: ebonyworks.StoreListing{AsOf: after + 1}}, nil
+}
+
+// Guards against a host that lost its source and follows the nearest host, which is
+// as far behind, instead of one with news.
+func TestLostReaderFollowsHostWithNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &metadata.Store{}
+		store.SetTrouble(metadata.Refused)
+		u := &upstream.Upstream{
+			Self: ebonyworks.Host{ID: "self", Domain: "d"}, Store: store.Reader("self"), Peers: unequalPeers{"other-3"}, ApplyTime: applyTime,
+			Alive: func() []ebonyworks.Host {
+				return []ebonyworks.Host{{ID: "other-1", Domain: "c"}, {ID: "other-2", Domain: "e"}, {ID: "other-3", Domain: "f"}}
+			},
+		}
+		for range 3 {
+			listing, err := u.Watch(t.Context(), 7, applyTime)
+			require.NoError(t, err)
+			assert.EqualValues(t, 8, listing.AsOf)
+		}
+	})
+}
