Take backoffs of a few nanoseconds

A server whose 503 names less than 10 ns, as Retry-After: 0.000000005, took down every later request to its service until its next life: the slow start after a backoff is cut into ten steps, which were zero long, and the register divided by them.

TestShortestBackoff panicked before. The steps are now computed without that division. The hostile values that the header was tried with had no tiny one.

--- a/state/register/availability_test.go
+++ b/state/register/availability_test.go
@@ -46,6 +46,21 @@
 	})
 }
 
+// Guards against a backoff of some nanoseconds that takes down every request to the
+// service.
+func TestShortestBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for length := time.Duration(1); length < time.Second; length *= 3 {
+			r := &register.Register{}
+			r.Observe(shed(length))
+			time.Sleep(3 * length)
+			candidate := r.Candidates(service, searches, "Sapporo", nil)[0]
+			assert.Zero(t, candidate.Backoff, length)
+			assert.InDelta(t, 1, candidate.Share, 1e-9, length)
+		}
+	})
+}
+
 // Guards against hosts that return to a server at one moment.
 func TestHostsReturnOneAfterTheOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/state/register/record.go
+++ b/state/register/record.go
@@ -83,7 +83,7 @@
 	if length == 0 {
 		length = RampTime
 	}
-	step := float64(now.Sub(k.rampSince) / (length / rampSteps))
+	step := math.Floor(rampSteps * float64(now.Sub(k.rampSince)) / float64(length))
 	return min(1, rampStart+(1-rampStart)*max(step, 0)/rampSteps)
 }
 
