Read the store in time when all its readers are cut off at once

In the model of the fleet (TestReadersAreCutOffAtOnce, 40 hosts) 7 of 12 cases took 6.2 to 8.5 s of 6 s. The tests before it let watches that already waited still show the change.

Cause: nobody has the news, so only time-outs can tell. A reader whose watch stays unanswered turned to other hosts, whose views counted as fresh for 7.5 s although their own watches were as silent. Followers learned of a lost source at their next poll, and the next host of the domain waited for another while.

- A host whose long watch stayed unanswered follows nobody that heard nothing of the store since that watch was sent.
- A host that has no source any more tells the hosts that wait for it at once.
- The second host of a domain reads the store once the first one says that it has no source: one more call for each domain in an outage.

--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -30,6 +30,9 @@
 	// Age returns how long ago the store confirmed the content, and false if
 	// that is too long ago or unknown.
 	Age() (time.Duration, bool)
+	// Abandoned returns a channel that is closed when the content has no source any
+	// more.
+	Abandoned() <-chan struct{}
 	// Returned returns how long ago the store came back; zero if it wasn't away
 	// lately.
 	Returned() time.Duration
@@ -84,18 +87,20 @@
 	return r.report(after), nil
 }
 
-// await waits until more is known, and returns false if the host stops or the
-// caller leaves.
+// await waits until more is known or the content has no source any more. It returns
+// false if the host stops or the caller leaves.
 func (r *Replica) await(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) bool {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
-		advanced := r.content.Advanced()
-		if r.content.AsOf() > after || wait <= 0 {
+		advanced, abandoned := r.content.Advanced(), r.freshness.Abandoned()
+		_, fresh := r.freshness.Age()
+		if r.content.AsOf() > after || wait <= 0 || !fresh {
 			return true
 		}
 		select {
 		case <-advanced:
+		case <-abandoned:
 		case <-end.C:
 			return true
 		case <-r.stopped:
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -18,14 +18,17 @@
 type content struct {
 	asOf     atomic.Uint64
 	advanced chan struct{}
-	age      time.Duration
-	fresh    bool
+	// abandoned is closed when there is no source any more.
+	abandoned chan struct{}
+	age       time.Duration
+	fresh     atomic.Bool
 }
 
 func (c *content) AsOf() ebonyworks.StoreRevision { return ebonyworks.StoreRevision(c.asOf.Load()) }
 func (c *content) Advanced() <-chan struct{}      { return c.advanced }
+func (c *content) Abandoned() <-chan struct{}     { return c.abandoned }
 func (c *content) Ready() bool                    { return true }
-func (c *content) Age() (time.Duration, bool)     { return c.age, c.fresh }
+func (c *content) Age() (time.Duration, bool)     { return c.age, c.fresh.Load() }
 func (c *content) Returned() time.Duration        { return 0 }
 func (c *content) Via() []ebonyworks.HostID       { return []ebonyworks.HostID{"reader"} }
 
@@ -34,7 +37,8 @@
 }
 
 func newContent() *content {
-	known := &content{advanced: make(chan struct{}), age: time.Second, fresh: true}
+	known := &content{advanced: make(chan struct{}), abandoned: make(chan struct{}), age: time.Second}
+	known.fresh.Store(true)
 	known.asOf.Store(5)
 	return known
 }
@@ -69,11 +73,29 @@
 	})
 }
 
+// Guards against followers that wait on for a host whose source is lost.
+func TestFollowersLearnOfLostSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := newContent()
+		served := replica.New(known, known)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			known.fresh.Store(false)
+			close(known.abandoned)
+		}()
+		begin := time.Now()
+		report, err := served.Follow(t.Context(), 5, time.Second)
+		require.NoError(t, err)
+		assert.Equal(t, 100*time.Millisecond, time.Since(begin))
+		assert.True(t, report.Stale)
+	})
+}
+
 // Guards against content that is passed on although nobody knows if it is still
 // true.
 func TestStaleContentIsKept(t *testing.T) {
 	known := newContent()
-	known.fresh = false
+	known.fresh.Store(false)
 	report, err := replica.New(known, known).Follow(t.Context(), 0, time.Second)
 	require.NoError(t, err)
 	assert.Equal(t, ebonyworks.StoreReport{Stale: true}, report)
--- a/coordination/upstream/ask.go
+++ b/coordination/upstream/ask.go
@@ -120,10 +120,11 @@
 		u.trouble = "host " + string(host.ID) + ": " + err.Error()
 		known.until = now.Add(wakeup.Spread(min(firstAvoidTime<<min(known.failures-1, 8), maxAvoidTime), u.Random))
 		return ebonyworks.StoreReport{}, false
-	case report.Stale || report.Age > u.part(maxAgePart) || u.isLoop(&report):
+	case report.Stale || report.Age > u.part(maxAgePart) || u.isLoop(&report) || u.predatesSilence(&report, after, now):
 		u.othersLost = u.othersLost || report.Stale
 		u.trouble = "host " + string(host.ID) + ": " + u.defect(&report)
-		u.avoid(host.ID, now, wakeup.Spread(staleAvoidTime, u.Random)).failures = 0
+		known := u.avoid(host.ID, now, wakeup.Spread(staleAvoidTime, u.Random))
+		known.failures, known.sourceless = 0, report.Stale
 		return ebonyworks.StoreReport{}, false
 	}
 	delete(u.avoided, host.ID)
@@ -146,8 +147,10 @@
 		return "has no source"
 	case report.Age > u.part(maxAgePart):
 		return "knows the store as of " + report.Age.String() + " ago"
-	default:
+	case u.isLoop(report):
 		return "follows this host, or is too far from the store"
+	default:
+		return "has heard nothing of the store since it fell silent here"
 	}
 }
 
--- a/coordination/upstream/avoidance.go
+++ b/coordination/upstream/avoidance.go
@@ -12,6 +12,8 @@
 	until time.Time
 	// failures counts the calls without an answer since the last good one.
 	failures int
+	// sourceless is set if the host answered that it had no source itself.
+	sourceless bool
 }
 
 // isAlone reports whether none of the hosts answers, so that this one has to read
--- a/coordination/upstream/fleet_test.go
+++ b/coordination/upstream/fleet_test.go
@@ -88,6 +88,8 @@
 	domainCut
 	// peersCut hosts reach the store only.
 	peersCut
+	// storeCut hosts hear nothing more of the store, on calls that wait neither.
+	storeCut
 	// panics is the state of hosts whose reports can't be handled.
 	panics
 )
@@ -218,7 +220,7 @@
 			if !same {
 				return -1
 			}
-		case works, panics:
+		case works, storeCut, panics:
 		}
 	}
 	if same {
@@ -302,14 +304,19 @@
 
 // Watch fails late while the host is cut off.
 func (s cutStore) Watch(ctx context.Context, after ebonyworks.StoreRevision, wait time.Duration) (ebonyworks.StoreListing, error) {
+	begin := time.Now()
 	if s.reached() {
 		listing, err := s.StoreReader.Watch(ctx, after, wait)
 		if s.reached() {
 			return listing, err
 		}
 	}
+	silence := 500 * time.Millisecond
+	if s.host.is(storeCut) {
+		silence += wait - time.Since(begin)
+	}
 	select {
-	case <-time.After(500 * time.Millisecond):
+	case <-time.After(silence):
 	case <-ctx.Done():
 	}
 	return ebonyworks.StoreListing{}, errCut
--- a/coordination/upstream/freshness.go
+++ b/coordination/upstream/freshness.go
@@ -37,6 +37,33 @@
 	return age, age <= u.part(maxAgePart)
 }
 
+// Abandoned returns a channel that is closed when there is no source any more.
+func (u *Upstream) Abandoned() <-chan struct{} {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.abandoned == nil {
+		u.abandoned = make(chan struct{})
+	}
+	return u.abandoned
+}
+
+// noteSilence notes that the store left the watch unanswered that was sent at the
+// time.
+func (u *Upstream) noteSilence(sent time.Time) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.silentSince.IsZero() {
+		u.silentSince = sent
+	}
+}
+
+// predatesSilence reports whether a host tells nothing that the store confirmed since it
+// left this host's watch unanswered: that host's own watch may be as silent. The mutex
+// is held.
+func (u *Upstream) predatesSilence(report *ebonyworks.StoreReport, after ebonyworks.StoreRevision, now time.Time) bool {
+	return !u.silentSince.IsZero() && report.AsOf <= after && !now.Add(-report.Age).After(u.silentSince)
+}
+
 // Via returns the hosts between this one and the store, the nearest one last.
 func (u *Upstream) Via() []ebonyworks.HostID {
 	u.mutex.Lock()
--- a/coordination/upstream/order.go
+++ b/coordination/upstream/order.go
@@ -53,9 +53,9 @@
 
 // mayRead reports whether this host reads the store now that none before it knows
 // its state: because it is the next in order that works, because it did so before,
-// or because nobody has known the state for a while. It answers the load in which
-// the store is away for all hosts: each of them would read it in place of its
-// reader.
+// because it is the first deputy of a reader that has no source, or because nobody has
+// known the state for a while. It answers the load in which the store is away for all
+// hosts: each of them would read it in place of its reader.
 func (u *Upstream) mayRead(order readership.Readership, now time.Time) bool {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
@@ -65,7 +65,7 @@
 	if u.lostAt.IsZero() {
 		isNext := !slices.ContainsFunc(order.Before(), func(host ebonyworks.Host) bool {
 			known := u.avoided[host.ID]
-			return known == nil || known.failures == 0
+			return known == nil || known.failures == 0 && !(known.sourceless && order.Rank() == 1)
 		})
 		return isNext || u.source == u.Self.ID
 	}
--- a/coordination/upstream/silent_test.go
+++ b/coordination/upstream/silent_test.go
@@ -69,3 +69,19 @@
 		}
 	})
 }
+
+// Guards against changes that are late on all other hosts, whose sources don't notice
+// for long that they were cut off from the store.
+func TestReadersAreCutOffAtOnce(t *testing.T) {
+	for offset := range 12 {
+		t.Run(fmt.Sprintf("offset %d", offset), func(t *testing.T) {
+			inFleet(t, 40, 4, func(t *testing.T, f *fleet) {
+				time.Sleep(time.Duration(offset) * applyTime / 12)
+				f.fail(storeCut, f.readers())
+				took := f.until(f.configure(2))
+				assert.LessOrEqual(t, took, applyTime)
+				t.Log(took)
+			})
+		})
+	}
+}
--- a/coordination/upstream/upstream.go
+++ b/coordination/upstream/upstream.go
@@ -123,6 +123,12 @@
 	returned time.Time
 	// lostAt is since when there is no source; zero while there is one.
 	lostAt time.Time
+	// abandoned is closed when there is no source any more; nil while nobody waits for
+	// that.
+	abandoned chan struct{}
+	// silentSince is when the first long watch was sent that the store left unanswered;
+	// zero while it answers. Short ones don't tell silence from a refusal.
+	silentSince time.Time
 	// othersLost is set if another host said, since there was a source, that it
 	// had none either: then it is the store that is away.
 	othersLost bool
@@ -288,8 +294,13 @@
 	if !wakeup.Wait(ctx, pause, nil) {
 		return ebonyworks.StoreListing{}, errNoSource
 	}
-	listing, err := u.Store.Watch(ctx, after, min(wait, u.part(storeWaitPart)))
+	wait = min(wait, u.part(storeWaitPart))
+	sent := time.Now()
+	listing, err := u.Store.Watch(ctx, after, wait)
 	now := time.Now()
+	if err != nil && ctx.Err() == nil && wait >= u.part(hostWaitPart) && now.Sub(sent) >= wait {
+		u.noteSilence(sent)
+	}
 	recovered := u.ended(ctx, err)
 	if err != nil {
 		return ebonyworks.StoreListing{}, err
@@ -320,6 +331,7 @@
 			u.returned = now
 		}
 		u.storeFailures = 0
+		u.silentSince = time.Time{}
 		u.lostAt = time.Time{}
 		u.othersLost = false
 	case ctx.Err() != nil || ebonyworks.IsHistoryGone(err):
@@ -348,6 +360,10 @@
 	first := u.lostAt.IsZero()
 	if first {
 		u.lostAt = time.Now()
+		if u.abandoned != nil {
+			close(u.abandoned)
+			u.abandoned = nil
+		}
 	}
 	u.mutex.Unlock()
 	if first {
