Lose all readers of the store at once in the soak

TestReadersAreLostAtOnce stops, kills, cuts off and turns away the processes that read the store, while the configuration changes. Runs of TestSoak do the first and the third at random, from a random sequence of their own, so that the faults of known seeds stay the same.

--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -13,7 +13,7 @@
 // send bytes that are no answer until the connection is closed.
 func TestEndlessBytesLeaveMemory(t *testing.T) {
 	binary := buildFront(t)
-	site := newSite(t, binary, 1001)
+	site := newSite(t, binary, 1001, 3)
 	site.start(t)
 	callers := site.startCallers(t)
 	starts := []string{
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -25,8 +25,9 @@
 	mutex sync.Mutex
 	fault string
 	conns map[net.Conn]bool
-	// changed is when a fault last began or ended.
-	changed time.Time
+	// changed is when a fault last began or ended, and used when bytes last came from
+	// the near side.
+	changed, used time.Time
 }
 
 func newLink(t *testing.T, target string) *link {
@@ -75,6 +76,19 @@
 	return l.fault == "" && l.changed.Before(at)
 }
 
+// usedSince reports whether bytes came from the near side since the time.
+func (l *link) usedSince(at time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.used.After(at)
+}
+
+func (l *link) use() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.used = time.Now()
+}
+
 func (l *link) current() string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -106,8 +120,8 @@
 	l.conns[conn], l.conns[onward] = true, true
 	l.mutex.Unlock()
 	var ways sync.WaitGroup
-	ways.Go(func() { l.copy(onward, conn, "silent-out") })
-	ways.Go(func() { l.copy(conn, onward, "silent-back") })
+	ways.Go(func() { l.copy(onward, conn, "silent-out", l.use) })
+	ways.Go(func() { l.copy(conn, onward, "silent-back", func() {}) })
 	ways.Wait()
 	l.mutex.Lock()
 	delete(l.conns, conn)
@@ -115,14 +129,15 @@
 	l.mutex.Unlock()
 }
 
-// copy moves bytes one way until the connection ends.
-func (l *link) copy(to, from net.Conn, silence string) {
+// copy moves bytes one way until the connection ends, and calls read for each piece.
+func (l *link) copy(to, from net.Conn, silence string, read func()) {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, 32<<10)
 	lost := false
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			read()
 			switch fault := l.current(); fault {
 			case "silent", silence:
 				lost = true
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -55,7 +55,8 @@
 	stops sync.WaitGroup
 }
 
-func newSite(t *testing.T, binary string, seed uint64) *site {
+// newSite returns a site with the given number of processes, which aren't started.
+func newSite(t *testing.T, binary string, seed uint64, count int) *site {
 	t.Helper()
 	s := &site{binary: binary, seed: seed, store: newStore(), ledger: newLedger()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -75,10 +76,10 @@
 	// Each run and each host has an address of its own on the loopback network.
 	base := fmt.Sprintf("127.%d.%d", 1+seed%200, 1+os.Getpid()%250)
 	var seeds []string
-	for i := range min(*hosts, 3) {
+	for i := range min(count, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:7003", base, i+2))
 	}
-	for i := range *hosts {
+	for i := range count {
 		s.storeLinks = append(s.storeLinks, newLink(t, listener.Addr().String()))
 		ip := fmt.Sprintf("%s.%d", base, i+2)
 		f := &front{address: ip + ":7001", ready: ip + ":7002", settings: filepath.Join(t.TempDir(), "settings.conf")}
@@ -343,11 +344,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &callers{cancel: cancel}
-	for number := range min(callersPerHost**hosts, maxCallers) {
+	for number := range min(callersPerHost*len(s.fronts), maxCallers) {
 		c.asking.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 2 * time.Second}
 			for i := 0; ctx.Err() == nil; i++ {
-				host := (number + i/20) % *hosts
+				host := (number + i/20) % len(s.fronts)
 				s.ask(client, host, fmt.Sprintf("q-%d-%d-%d-%d", s.seed, host, number, i), i%3 == 0)
 				time.Sleep(15 * time.Millisecond)
 			}
@@ -487,21 +488,12 @@
 
 // checkNewest checks that the newest configuration is in force on the host.
 func (s *site) checkNewest(f *front) {
-	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/newest", f.address, s.version), nil)
-	if err != nil {
-		s.ledger.problem("make request: %v", err)
-		return
-	}
-	request.Host = "h.example"
-	request.Header.Set("Request-Id", "newest")
-	client := &http.Client{Timeout: 2 * time.Second}
-	response, err := client.Do(request)
+	status, err := s.newest(f)
 	if err != nil {
 		s.ledger.problem("host %s doesn't answer after the faults: %v", f.address, err)
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		s.ledger.problem("host %s answers %s on the newest route", f.address, response.Status)
+	if status != http.StatusOK {
+		s.ledger.problem("host %s answers %d on the newest route", f.address, status)
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,7 +89,8 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	links := rand.New(rand.NewPCG(seed, 8))
 	withdrawals := rand.New(rand.NewPCG(seed, 9))
-	site := newSite(t, binary, seed)
+	readers := rand.New(rand.NewPCG(seed, 10))
+	site := newSite(t, binary, seed, *hosts)
 	site.start(t)
 	callers := site.startCallers(t)
 	end := time.Now().Add(*duration)
@@ -99,6 +100,7 @@
 		}
 		site.injectLink(links)
 		site.withdraw(withdrawals)
+		site.injectReaders(readers)
 		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
 	}
 	site.heal(t)
