--- a/coordination/upstream/order.go
+++ b/coordination/upstream/order.go
@@ -65,7 +65,7 @@
 	if u.lostAt.IsZero() {
 		isNext := !slices.ContainsFunc(order.Before(), func(host ebonyworks.Host) bool {
 			known := u.avoided[host.ID]
-			return known == nil || known.failures == 0 && !(known.sourceless && order.Rank() == 1)
+			return known == nil || known.failures == 0 && (!known.sourceless || order.Rank() != 1)
 		})
 		return isNext || u.source == u.Self.ID
 	}
