Restart a stand-in server after it has closed

The restart is planned after the listener is closed, and one that fails is logged (7105). Not in the product: only stand-ins and their tests use it.

--- a/event/tool.go
+++ b/event/tool.go
@@ -19,6 +19,8 @@
 	StandInLeaving ebonyworks.EventID = 7103
 	// StandInReloaded is recorded when a stand-in has read its configuration again.
 	StandInReloaded ebonyworks.EventID = 7104
+	// StandInDown is recorded when a killed stand-in server can't run again.
+	StandInDown ebonyworks.EventID = 7105
 	// RunStarted is recorded when a run of the load tool starts.
 	RunStarted ebonyworks.EventID = 7501
 	// PhaseStarted is recorded when a phase of a run starts.
@@ -43,6 +45,7 @@
 	{ID: StandInRestarted, Level: Info, Message: "stand-in server restarted", Action: "None."},
 	{ID: StandInLeaving, Level: Info, Message: "stand-in server is leaving", Action: "None."},
 	{ID: StandInReloaded, Level: Info, Message: "stand-in reloaded its configuration", Action: "None."},
+	{ID: StandInDown, Level: Error, Message: "stand-in server could not restart", Action: "See the error: its address may be in use. The results of the run are not usable."},
 	{ID: RunStarted, Level: Info, Message: "run started", Action: "None."},
 	{ID: PhaseStarted, Level: Info, Message: "phase started", Action: "None."},
 	{ID: FaultStarted, Level: Info, Message: "fault started", Action: "None."},
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -199,12 +199,27 @@
 		return
 	}
 	current.state = Stopped
+	s.mu.Unlock()
+	current.close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordLocked(event.StandInKilled, event.Attribute("Downtime", downtime.String()))
 	if downtime > 0 && !s.closed {
-		s.restart = time.AfterFunc(downtime, func() { _ = s.Restart() })
+		s.restart = time.AfterFunc(downtime, s.restartLater)
 	}
+}
+
+// restartLater starts the server again unless something else did meanwhile.
+func (s *Server) restartLater() {
+	s.mu.Lock()
+	due := !s.closed && s.life.state == Stopped
 	s.mu.Unlock()
-	current.close()
-	s.record(event.StandInKilled, event.Attribute("Downtime", downtime.String()))
+	if !due {
+		return
+	}
+	if err := s.Restart(); err != nil {
+		s.record(event.StandInDown, event.Attribute("Error", err.Error()))
+	}
 }
 
 // Restart starts a stopped server with a new incarnation. It is cold and
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -267,6 +267,16 @@
 	assert.Eventually(t, func() bool { return running.State().State == server.Running }, 10*time.Second, time.Millisecond)
 }
 
+// Guards against a server that stays down since it starts again before it has given
+// up its address.
+func TestRestartsAtOnce(t *testing.T) {
+	running, _, _ := started(t, server.Model{}, stockroom.Options{})
+	for range 100 {
+		running.Kill(time.Nanosecond)
+		require.Eventually(t, func() bool { return running.State().State == server.Running }, 10*time.Second, time.Millisecond)
+	}
+}
+
 // Guards against a drain that interrupts work in flight or accepts new work.
 func TestDrain(t *testing.T) {
 	running, address, client := started(t, server.Model{MeanServiceTime: 200 * time.Millisecond, Sigma: steady, DrainNotice: 50 * time.Millisecond}, stockroom.Options{})
