Log and count rate limits that servers name

Cause: the hypotheses of the incident can't be told apart: nothing says which host knows the limit of a server, nor how many attempts go to servers with one. Change: the header is parsed, the server's record holds the limit of its incarnation, events 6006, 6007 and 6505 say when it changes or can't be read, and two metrics count the servers and the attempts by kind. No decision reads it yet.

--- a/backend.go
+++ b/backend.go
@@ -123,6 +123,8 @@
 	// Snapshots are those that the server holds, ordered by their numbers in the
 	// catalogue.
 	Snapshots []Snapshot
+	// RateLimit is what the response says about a rate limit.
+	RateLimit RateLimitReport
 }
 
 // AttemptRecord describes a finished attempt at a server.
@@ -143,6 +145,9 @@
 	// Cause explains an attempt without a usable response, or a part of one that
 	// isn't used, for the log.
 	Cause string
+	// RateLimited is set if the server had named a rate limit before the request was
+	// sent.
+	RateLimited bool
 }
 
 // String returns the stable name of the result in metrics and traces.
--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -126,6 +126,7 @@
 	for {
 		availability := a.subrequest.run.forwarder.ServerStates.Availability(a.candidate.Server.ID)
 		if availability.Available() {
+			a.record.RateLimited = availability.RateLimited
 			return true
 		}
 		if availability.Draining {
--- a/event/server.go
+++ b/event/server.go
@@ -15,6 +15,10 @@
 	ServerRecovered ebonyworks.EventID = 6004
 	// ServerBackoff is recorded when a backend server asks this host for no requests for a time.
 	ServerBackoff ebonyworks.EventID = 6005
+	// ServerRateLimited is recorded when a backend server names a rate limit, or another one than before.
+	ServerRateLimited ebonyworks.EventID = 6006
+	// ServerRateLimitEnded is recorded when a backend server no longer names a rate limit.
+	ServerRateLimitEnded ebonyworks.EventID = 6007
 	// ServerUnreachable is recorded for the first connection to a backend server that fails after one that was opened.
 	ServerUnreachable ebonyworks.EventID = 6501
 	// ServerReachable is recorded when a connection is opened after one that failed.
@@ -23,6 +27,8 @@
 	ServerReplyInvalid ebonyworks.EventID = 6503
 	// ServerReturnTimeInvalid is recorded when the return time in a backend server's reply can't be used as stated, at most once a second for each server.
 	ServerReturnTimeInvalid ebonyworks.EventID = 6504
+	// ServerRateLimitInvalid is recorded when the rate limit in a backend server's response can't be used as stated, at most once a second for each server.
+	ServerRateLimitInvalid ebonyworks.EventID = 6505
 )
 
 var serverEntries = []Entry{
@@ -31,8 +37,11 @@
 	{ID: ServerFailing, Level: Warning, Message: "backend server is failing", Action: "Look at the server if it doesn't recover."},
 	{ID: ServerRecovered, Level: Info, Message: "backend server recovered", Action: "None."},
 	{ID: ServerBackoff, Level: Info, Message: "backend server asks for no requests for a time", Action: "Look at the load of the server if it is frequent."},
+	{ID: ServerRateLimited, Level: Info, Message: "backend server names a rate limit", Action: "Look at the load of the server; add servers if callers are refused for it."},
+	{ID: ServerRateLimitEnded, Level: Info, Message: "backend server no longer names a rate limit", Action: "None."},
 	{ID: ServerUnreachable, Level: Warning, Message: "backend server is unreachable", Action: "Check the server if it should be running."},
 	{ID: ServerReachable, Level: Info, Message: "backend server is reachable again", Action: "None."},
 	{ID: ServerReplyInvalid, Level: Warning, Message: "reply of backend server is invalid", Action: "Check the version and the address of the server."},
 	{ID: ServerReturnTimeInvalid, Level: Warning, Message: "backend server states a return time that can't be used as it stands", Action: "Correct the server; the line says what was taken instead."},
+	{ID: ServerRateLimitInvalid, Level: Warning, Message: "backend server names a rate limit that can't be used as it stands", Action: "Correct the server; the line says what was taken instead."},
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,7 +14,7 @@
 // RegisterMetrics creates the instruments for the state of the host. It must be called
 // only once.
 func (g *Gateway) RegisterMetrics(meter metric.Meter) error {
-	var failures [9]error
+	var failures [10]error
 	revision, err := meter.Int64ObservableGauge(instrument.ConfigurationRevision)
 	failures[0] = err
 	ready, err := meter.Int64ObservableGauge(instrument.Ready)
@@ -33,6 +33,8 @@
 	failures[7] = err
 	withdrawn, err := meter.Int64ObservableGauge(instrument.WithdrawnServers)
 	failures[8] = err
+	rateLimited, err := meter.Int64ObservableGauge(instrument.RateLimitedServers)
+	failures[9] = err
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create the gateway's instruments")
 	}
@@ -52,8 +54,9 @@
 		draining, backoff := g.serverStates.CountUnavailable()
 		out.ObserveInt64(withdrawn, int64(draining), stateAttribute("leaving"))
 		out.ObserveInt64(withdrawn, int64(backoff), stateAttribute("backoff"))
+		out.ObserveInt64(rateLimited, int64(g.serverStates.CountRateLimited()))
 		return nil
-	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls, withdrawn)
+	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls, withdrawn, rateLimited)
 	if err != nil {
 		return errors.Wrap(err, "register the gateway's metrics")
 	}
--- a/gateway/observer.go
+++ b/gateway/observer.go
@@ -48,26 +48,28 @@
 // AttemptEnded counts an attempt, and logs the cause if its response is invalid.
 func (o *Observer) AttemptEnded(record ebonyworks.AttemptRecord) {
 	o.metrics.AttemptEnded(record)
-	kind, logged := attemptEvent(record)
+	kind, cause, logged := attemptEvent(record)
 	if !logged || !o.shouldLogInvalid(record.Server, time.Now()) {
 		return
 	}
 	o.recorder.Record(event.New(kind,
 		event.Attribute("Service", string(record.Service)),
 		event.Attribute("Server", string(record.Server)),
-		event.Attribute("Error", record.Cause)))
+		event.Attribute("Error", cause)))
 }
 
 // attemptEvent returns the event to log for an attempt whose response is invalid or
-// has an invalid part. It returns false if there is nothing to log.
-func attemptEvent(record ebonyworks.AttemptRecord) (ebonyworks.EventID, bool) {
+// has an invalid part, and the cause. It returns false if there is nothing to log.
+func attemptEvent(record ebonyworks.AttemptRecord) (id ebonyworks.EventID, cause string, logged bool) {
 	switch {
 	case record.Result == ebonyworks.AttemptInvalid:
-		return event.ServerReplyInvalid, true
+		return event.ServerReplyInvalid, record.Cause, true
+	case record.Report.RateLimit.Problem != "":
+		return event.ServerRateLimitInvalid, record.Report.RateLimit.Problem, true
 	case record.Result == ebonyworks.AttemptShed && record.Cause != "":
-		return event.ServerReturnTimeInvalid, true
+		return event.ServerReturnTimeInvalid, record.Cause, true
 	default:
-		return 0, false
+		return 0, "", false
 	}
 }
 
--- a/policy.go
+++ b/policy.go
@@ -47,6 +47,9 @@
 	Draining bool
 	// Backoff is how much longer the server refuses requests of this host.
 	Backoff time.Duration
+	// RateLimited is set if the server takes only a limited number of requests a second
+	// from all hosts together.
+	RateLimited bool
 }
 
 // Available reports whether a request may be sent.
--- a/state/serverstate/availability.go
+++ b/state/serverstate/availability.go
@@ -20,13 +20,14 @@
 	maxTombstones = 4096
 )
 
-// tombstone is the drain and backoff state of one incarnation of a server. It
+// tombstone is the drain, backoff and rate limit state of one incarnation of a server. It
 // outlives the server's record, because a registration that lapses and is renewed is
 // not a new incarnation.
 type tombstone struct {
 	incarnation  ebonyworks.Incarnation
 	announcedAt  time.Time
 	backoffUntil time.Time
+	limit        rateLimit
 	// removedAt is when the registration was removed.
 	removedAt time.Time
 }
@@ -57,7 +58,7 @@
 	if known.draining && !r.inDrainGrace(known, now) {
 		return ebonyworks.Availability{Draining: true}
 	}
-	return ebonyworks.Availability{Backoff: known.backoffLeft(now)}
+	return ebonyworks.Availability{Backoff: known.backoffLeft(now), RateLimited: known.limit.limited}
 }
 
 // Unavailable returns the servers that get no requests now, because they are
@@ -118,9 +119,9 @@
 	known.rampTime = min(length, RampTime)
 }
 
-// addTombstone keeps the drain and backoff state of a server whose record is dropped.
+// addTombstone keeps the drain, backoff and rate limit state of a server whose record is dropped.
 func (r *Table) addTombstone(id ebonyworks.ServerID, known *record, now time.Time) {
-	if known.announcedAt.IsZero() && known.backoffLeft(now) <= 0 {
+	if known.announcedAt.IsZero() && known.backoffLeft(now) <= 0 && !known.limit.limited {
 		return
 	}
 	if r.tombstones == nil {
@@ -129,7 +130,7 @@
 	if len(r.tombstones) >= maxTombstones {
 		r.evictOldestTombstone()
 	}
-	r.tombstones[id] = tombstone{incarnation: known.incarnation, announcedAt: known.announcedAt, backoffUntil: known.backoffUntil, removedAt: now}
+	r.tombstones[id] = tombstone{incarnation: known.incarnation, announcedAt: known.announcedAt, backoffUntil: known.backoffUntil, limit: known.limit, removedAt: now}
 }
 
 func (r *Table) evictOldestTombstone() {
@@ -154,6 +155,10 @@
 	known.announcedAt = saved.announcedAt
 	known.draining = !saved.announcedAt.IsZero()
 	known.backoffUntil = saved.backoffUntil
+	known.limit = saved.limit
+	if known.limit.limited {
+		r.limited.Add(1)
+	}
 }
 
 // setAnnounced records that the server itself reported that it is draining.
--- a/state/serverstate/observe.go
+++ b/state/serverstate/observe.go
@@ -45,6 +45,9 @@
 	if report.Draining {
 		known.setAnnounced(now)
 	}
+	if report.Incarnation == known.incarnation {
+		r.applyRateLimit(known, attempt.Server, report.RateLimit, now, now)
+	}
 	if attempt.Report.Server == "" {
 		return
 	}
@@ -85,6 +88,7 @@
 	known.draining = false
 	known.announcedAt = time.Time{}
 	known.backoffUntil = time.Time{}
+	r.clearRateLimit(known)
 	known.rampSince = now
 	known.rampTime = 0
 	known.latency = 0
--- a/state/serverstate/record.go
+++ b/state/serverstate/record.go
@@ -21,6 +21,8 @@
 	// backoffUntil is the time until which this incarnation gets no requests of this
 	// host.
 	backoffUntil time.Time
+	// limit is the rate limit that this incarnation stated.
+	limit rateLimit
 	// rampSince is the start of the slow start, and rampTime its length; zero means
 	// RampTime.
 	rampSince time.Time
--- a/state/serverstate/serverstate.go
+++ b/state/serverstate/serverstate.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonyworks/ebonyworks"
@@ -92,6 +93,8 @@
 	configured bool
 	// staleBefore is the time of the latest resume from a pause.
 	staleBefore time.Time
+	// limited counts the servers with a rate limit.
+	limited atomic.Int64
 }
 
 // MergeDrainState merges a drain state from a peer or the host list. It reports
@@ -178,6 +181,7 @@
 			return false
 		}
 		r.addTombstone(id, known, now)
+		r.clearRateLimit(known)
 		return true
 	})
 	for id := range named {
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -51,6 +51,8 @@
 	StoreReadDirectly       = "ebonyworks.store.read"
 	StoreCalls              = "ebonyworks.store.calls"
 	WithdrawnServers        = "ebonyworks.servers.withdrawn"
+	RateLimitedServers      = "ebonyworks.servers.rate_limited"
+	RateLimitedAttempts     = "ebonyworks.attempts.rate_limited"
 )
 
 // Catalogue returns all metrics in the order of docs/telemetry.md.
@@ -91,6 +93,8 @@
 		{Name: StoreReadDirectly, Kind: Gauge},
 		{Name: StoreCalls, Kind: Counter},
 		{Name: WithdrawnServers, Kind: Gauge, Labels: []string{"state"}},
+		{Name: RateLimitedServers, Kind: Gauge},
+		{Name: RateLimitedAttempts, Kind: Counter, Labels: []string{"kind", "service"}},
 	}
 }
 
--- a/telemetry/observe.go
+++ b/telemetry/observe.go
@@ -16,6 +16,10 @@
 	labels := t.attemptLabels(attemptKey{service: record.Service, result: record.Result, kind: attemptKind(record)})
 	t.attempts.Add(ctx, 1, labels.attempts)
 	t.attemptLatency.Record(ctx, record.Latency.Seconds(), labels.latency)
+	if record.RateLimited {
+		t.rateLimitedAttempts.Add(ctx, 1, metric.WithAttributes(
+			attribute.String("service", string(record.Service)), attribute.String("kind", attemptKind(record))))
+	}
 }
 
 // attemptKey holds the values that determine the labels of an attempt.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -60,6 +60,8 @@
 	forwards       metric.Int64Counter
 	forwardLatency metric.Float64Histogram
 	missedParts    metric.Int64Counter
+	// rateLimitedAttempts counts the attempts at servers with a rate limit.
+	rateLimitedAttempts metric.Int64Counter
 
 	labelsMutex sync.Mutex
 	// labels has at most maxCachedLabels entries.
@@ -126,7 +128,7 @@
 
 func (t *Telemetry) createInstruments() error {
 	meter := t.meterProvider.Meter(scopeName)
-	var failures [9]error
+	var failures [10]error
 	t.attempts, failures[0] = meter.Int64Counter(instrument.Attempts,
 		metric.WithDescription("Attempts at backend servers by service, result and kind."))
 	t.attemptLatency, failures[1] = meter.Float64Histogram(instrument.AttemptDuration,
@@ -148,6 +150,8 @@
 		metric.WithExplicitBucketBoundaries(buckets()...))
 	t.missedParts, failures[8] = meter.Int64Counter(instrument.MissedParts,
 		metric.WithDescription("Shards without a part in the merged answers."))
+	t.rateLimitedAttempts, failures[9] = meter.Int64Counter(instrument.RateLimitedAttempts,
+		metric.WithDescription("Attempts at backend servers that had named a rate limit."))
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create instruments")
 	}
