Keep the rate limits of servers over all hosts with permits of one host

Callers saw nothing; servers in need got up to twice what the bound allows. A host that reads it alone can't keep it either: limits of 4 to 6 a second meet some 70 hosts. Ruled out: even shares (below one request in ten seconds a host, and a merged answer needs the shares of all shards at the same host), and shares by demand (late by a round of gossip while the load moves). Change: one host, the same for all by the hash of its id, issues permits: a token bucket for each server, empty at first, at the rate named, times the share of the hosts that it sees alive. A request takes the permits of all its shards with one message before anything is sent, all that it needs or none, and uses servers without a limit where it gets none; a request that lacks too many is refused at once as not run. Hedges and probes get no permits. Limits spread with the requests for permits, an exchange each 0.7 s, a flag in the gossip, and the replies to delegated requests. They end with a response that names none, or a new incarnation. TestLimitsAreUsed: 1, 8 and 40 hosts serve 300 requests of 300 that the limits allow, within 10%, also with all callers at one host.

--- a/coordination/delegation/delegator.go
+++ b/coordination/delegation/delegator.go
@@ -51,7 +51,10 @@
 	// OnDrainState is called for each server that reported in a reply to another host
 	// that it is draining. It may be nil.
 	OnDrainState func(ebonyworks.DrainState)
-	Recorder     ebonyworks.EventRecorder
+	// OnRateLimit is called for each rate limit that a server named in a response to
+	// another host. It may be nil.
+	OnRateLimit func(ebonyworks.RateLimit)
+	Recorder    ebonyworks.EventRecorder
 
 	mutex sync.Mutex
 	// view lists the larger hosts as servers, as of viewAt; hosts has the same hosts by
@@ -170,6 +173,7 @@
 	case delivery == ebonyworks.Delivered:
 		d.observe(candidate, ebonyworks.AttemptServed, time.Since(start))
 		d.reportDrainStates(reply.DrainStates)
+		d.reportRateLimits(reply.RateLimits)
 	case ctx.Err() != nil:
 	case delivery == ebonyworks.NotDelivered:
 		d.observe(candidate, ebonyworks.AttemptUnreachable, 0)
@@ -188,6 +192,15 @@
 	}
 }
 
+func (d *Delegator) reportRateLimits(limits []ebonyworks.RateLimit) {
+	if d.OnRateLimit == nil {
+		return
+	}
+	for _, limit := range limits {
+		d.OnRateLimit(limit)
+	}
+}
+
 // choose selects a larger host, and returns false if there is no working one.
 func (d *Delegator) choose() (ebonyworks.Host, ebonyworks.ServerID, bool) {
 	d.mutex.Lock()
--- a/coordination/fanout/attempt.go
+++ b/coordination/fanout/attempt.go
@@ -49,6 +49,10 @@
 	// waitsForBackoff is set if the attempt may wait until the backoff of its
 	// server ends.
 	waitsForBackoff bool
+	// permitted is set if the attempt has a permit for a rate-limited server. endedAt is
+	// when its response arrived.
+	permitted bool
+	endedAt   time.Time
 	// finished is set by the run when it has received the attempt, and canceled
 	// when it needs no response.
 	finished, canceled bool
@@ -101,7 +105,8 @@
 	}
 	start := time.Now()
 	outcome := f.Backend.Send(&a.sendContext, a.candidate.Server, run.request, run.deadline)
-	a.record.Latency = time.Since(start)
+	a.endedAt = time.Now()
+	a.record.Latency = a.endedAt.Sub(start)
 	a.record.Result = a.checkResponse(&outcome)
 	a.record.Report = outcome.Report
 	if a.record.Report.Incarnation == 0 {
@@ -121,10 +126,15 @@
 }
 
 // waitUntilAvailable reports whether the server still accepts the request. Since
-// it was chosen, it may have asked for a backoff or reported that it is draining.
+// it was chosen, it may have asked for a backoff, named a rate limit, or reported that
+// it is draining.
 func (a *attempt) waitUntilAvailable() bool {
 	for {
 		availability := a.subrequest.run.forwarder.ServerStates.Availability(a.candidate.Server.ID)
+		if availability.RateLimited && !a.permitted && !a.takePermit() {
+			a.notSentReason = "the rate limit of server " + string(a.candidate.Server.ID) + " is used up"
+			return false
+		}
 		if availability.Available() {
 			a.record.RateLimited = availability.RateLimited
 			return true
--- a/coordination/fanout/attemptlimit.go
+++ b/coordination/fanout/attemptlimit.go
@@ -76,14 +76,36 @@
 	seed := xxhash.Sum64String(string(request.ID))
 	hashes := make([]ebonyworks.ServerHash, len(route.Shards))
 	unavailable := f.ServerStates.Unavailable()
+	unwanted := union(unavailable, f.ServerStates.RateLimited())
 	for i, shard := range route.Shards {
-		if service := f.Registry.Service(shard); service != nil {
+		service := f.Registry.Service(shard)
+		if service == nil {
+			continue
+		}
+		hashes[i] = fallback(service, f.Domain, unwanted, seed)
+		if hashes[i] == 0 && len(unwanted) > len(unavailable) {
 			hashes[i] = fallback(service, f.Domain, unavailable, seed)
 		}
 	}
 	return hashes
 }
 
+// union returns the servers in either set.
+func union(a, b map[ebonyworks.ServerID]bool) map[ebonyworks.ServerID]bool {
+	if len(a) == 0 {
+		return b
+	}
+	for server := range a {
+		if b != nil {
+			b[server] = true
+		}
+	}
+	if b == nil {
+		return a
+	}
+	return b
+}
+
 // fallback returns the hash of a server that is available, or zero if there is
 // none or the hashes of two servers are equal.
 func fallback(service *ebonyworks.Service, domain ebonyworks.DomainID, unavailable map[ebonyworks.ServerID]bool, seed uint64) ebonyworks.ServerHash {
--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -32,6 +32,9 @@
 	// Unavailable returns the servers that get no requests now, or nil if there
 	// are none.
 	Unavailable() map[ebonyworks.ServerID]bool
+	// RateLimited returns the servers that only accept attempts with a permit, or nil
+	// if there are none.
+	RateLimited() map[ebonyworks.ServerID]bool
 	// Observe updates the server's state with a finished attempt.
 	Observe(record ebonyworks.AttemptRecord)
 }
@@ -108,7 +111,8 @@
 }
 
 // Forwarder runs opaque requests. Its fields are set before the first use;
-// Quarantine, Observer, Delegator and Recorder may be nil.
+// Quarantine, Observer, Delegator and Recorder may be nil. Without Permits, which may
+// be nil, too, rate-limited servers get no requests.
 type Forwarder struct {
 	// Domain is the failure domain of the host.
 	Domain ebonyworks.DomainID
@@ -126,6 +130,7 @@
 	Quarantine       ebonyworks.Quarantine
 	Observer         Observer
 	Delegator        Delegator
+	Permits          Permits
 	Recorder         ebonyworks.EventRecorder
 }
 
@@ -216,6 +221,7 @@
 	reply := run.do(ctx)
 	if from.relayed {
 		reply.DrainStates = run.drainStates()
+		reply.RateLimits = run.rateLimits()
 	}
 	if f.Observer != nil {
 		f.Observer.Forwarded(run.report(reply))
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -60,6 +60,9 @@
 	overloadReason string
 	hedgeDelay     time.Duration
 	mayHedge       bool
+	// permitWait is the time after which permits may be available if the request got
+	// none; zero if it got them or needed none.
+	permitWait time.Duration
 }
 
 func (f *Forwarder) newRun(request *ebonyworks.ForwardRequest, route *routing.Route, revision ebonyworks.Revision, from origin) *run {
@@ -114,6 +117,11 @@
 		return r.failedReply(now)
 	}
 	defer r.finishAdmission()
+	if !r.takePermits(ctx) {
+		r.refused = true
+		return r.failedReply(time.Now())
+	}
+	now = time.Now()
 	r.sendDeadline = r.deadline.Add(-max(minServerTime, min(r.admission.typicalLatency, r.deadline.Sub(r.request.Arrival)/2)))
 	defer r.cancelAttempts()
 	defer r.recordCrashes()
@@ -384,7 +392,7 @@
 func (r *run) failedReply(now time.Time) ebonyworks.ForwardReply {
 	if r.cancelUnsent() {
 		r.admission.refusalRate = r.forwarder.PriorityShedder.RefusalRate(r.subrequests[0].id, r.route.Priority)
-		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, r.backoff(), r.longestWait(), r.admission.refusalRate)}
+		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: r.reason(), RetryAfter: retryAfter(r.request.ID, max(r.backoff(), r.permitWait), r.longestWait(), r.admission.refusalRate)}
 	}
 	if !now.Before(r.deadline) {
 		return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyTimeout, Reason: r.reason()}
--- a/coordination/fanout/subrequest.go
+++ b/coordination/fanout/subrequest.go
@@ -63,6 +63,9 @@
 	// noHedgeReason is why a hedge that was due wasn't made; empty if none was
 	// due.
 	noHedgeReason string
+	// permitted is set if the first attempt has a permit for its server. noPermit is set
+	// if all servers need one and none was issued.
+	permitted, noPermit bool
 	// notSentReason is why the last attempt wasn't sent; empty if it was.
 	notSentReason string
 }
@@ -75,6 +78,8 @@
 		return "no server of service " + string(s.id) + " is known"
 	case s.started == 0 && s.allDraining:
 		return "all servers of service " + string(s.id) + " are leaving"
+	case s.started == 0 && s.noPermit:
+		return "the rate limits of the servers of service " + string(s.id) + " are used up"
 	case s.started == 0 && s.backoff > 0:
 		return "all servers of service " + string(s.id) + " want no requests, the first for " + s.backoff.Round(time.Millisecond).String()
 	case s.started == 0 && s.predictedWait > 0:
@@ -161,7 +166,7 @@
 	s.start(s.candidates[s.firstIndex], attemptFirst, charge)
 	s.scheduleHedge(now.Add(s.backoff))
 	for i := range s.candidates {
-		if i == s.firstIndex || !s.candidates[i].Probe || !s.mayStartAttempt() || !s.allows(s.candidates[i].Server.ID) || !s.hasSpareCapacity(&s.candidates[i]) {
+		if i == s.firstIndex || !s.candidates[i].Probe || s.candidates[i].RateLimited || !s.mayStartAttempt() || !s.allows(s.candidates[i].Server.ID) || !s.hasSpareCapacity(&s.candidates[i]) {
 			continue
 		}
 		if s.run.forwarder.RetryBudget.Remaining(s.id) <= probeBudgetReserve {
@@ -196,7 +201,7 @@
 	if s.done || s.inFlight == 0 || !s.mayStartAttempt() {
 		return
 	}
-	candidate, ok := s.chooseUntried()
+	candidate, ok := s.chooseUntried(withoutRateLimit)
 	if !ok || candidate.Failing {
 		s.noHedgeReason = "no other server works"
 		return
@@ -287,7 +292,10 @@
 		s.retryDeferred = true
 		return
 	}
-	candidate, ok := s.chooseUntried()
+	candidate, ok := s.chooseUntried(withoutRateLimit)
+	if !ok {
+		candidate, ok = s.chooseUntried(nil)
+	}
 	if !ok {
 		return
 	}
@@ -316,12 +324,16 @@
 	return result.ProvesNotRun() || s.run.route.Idempotent
 }
 
-// chooseUntried selects a server that no attempt was started at yet.
-func (s *subrequest) chooseUntried() (ebonyworks.Candidate, bool) {
+// chooseUntried selects a server that no attempt was started at yet among those that
+// remain after the filter, which may be nil.
+func (s *subrequest) chooseUntried(filter func([]ebonyworks.Candidate) []ebonyworks.Candidate) (ebonyworks.Candidate, bool) {
 	candidates := s.allowed(s.run.forwarder.ServerStates.Candidates(s.service, false))
 	candidates = slices.DeleteFunc(candidates, func(candidate ebonyworks.Candidate) bool {
 		return slices.Contains(s.attempted, candidate.Server.ID)
 	})
+	if filter != nil {
+		candidates = filter(candidates)
+	}
 	index, ok := s.run.forwarder.Selection.Select(candidates)
 	if !ok {
 		return ebonyworks.Candidate{}, false
@@ -345,7 +357,7 @@
 	s.started++
 	s.inFlight++
 	s.run.inFlight++
-	started := &attempt{subrequest: s, candidate: candidate, kind: kind, charge: charge, waitsForBackoff: candidate.Backoff > 0}
+	started := &attempt{subrequest: s, candidate: candidate, kind: kind, charge: charge, waitsForBackoff: candidate.Backoff > 0, permitted: kind == attemptFirst && s.permitted}
 	started.permitContext.deadline = s.run.sendDeadline
 	s.run.attempts = append(s.run.attempts, started)
 	go started.do()
--- a/coordination/fanout/testbed_test.go
+++ b/coordination/fanout/testbed_test.go
@@ -84,6 +84,8 @@
 
 func (s servers) Unavailable() map[ebonyworks.ServerID]bool { return s.register.Unavailable() }
 
+func (s servers) RateLimited() map[ebonyworks.ServerID]bool { return s.register.RateLimited() }
+
 func (s servers) Observe(record ebonyworks.AttemptRecord) { s.register.Observe(record) }
 
 func shard(i int) ebonyworks.ServiceID { return ebonyworks.ServiceID(fmt.Sprintf("shard-%02d", i)) }
--- a/event/server.go
+++ b/event/server.go
@@ -19,6 +19,8 @@
 	ServerRateLimited ebonyworks.EventID = 6006
 	// ServerRateLimitEnded is recorded when a backend server no longer names a rate limit.
 	ServerRateLimitEnded ebonyworks.EventID = 6007
+	// PermitsUnavailable is recorded when the host that issues permits for rate-limited servers doesn't answer or declines, at most once a second.
+	PermitsUnavailable ebonyworks.EventID = 6008
 	// ServerUnreachable is recorded for the first connection to a backend server that fails after one that was opened.
 	ServerUnreachable ebonyworks.EventID = 6501
 	// ServerReachable is recorded when a connection is opened after one that failed.
@@ -39,6 +41,7 @@
 	{ID: ServerBackoff, Level: Info, Message: "backend server asks for no requests for a time", Action: "Look at the load of the server if it is frequent."},
 	{ID: ServerRateLimited, Level: Info, Message: "backend server names a rate limit", Action: "Look at the load of the server; add servers if callers are refused for it."},
 	{ID: ServerRateLimitEnded, Level: Info, Message: "backend server no longer names a rate limit", Action: "None."},
+	{ID: PermitsUnavailable, Level: Warning, Message: "no permits for rate-limited backend servers", Action: "Check the host named if it lasts; until another host takes over, such servers get no requests."},
 	{ID: ServerUnreachable, Level: Warning, Message: "backend server is unreachable", Action: "Check the server if it should be running."},
 	{ID: ServerReachable, Level: Info, Message: "backend server is reachable again", Action: "None."},
 	{ID: ServerReplyInvalid, Level: Warning, Message: "reply of backend server is invalid", Action: "Check the version and the address of the server."},
--- a/forwarding.go
+++ b/forwarding.go
@@ -196,6 +196,8 @@
 	// that they are draining. The host that passes the reply on sends them no more
 	// requests.
 	DrainStates []DrainState
+	// RateLimits are those that servers named in a response to this request.
+	RateLimits []RateLimit
 }
 
 // Forwarder answers opaque requests.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,8 @@
 	"github.com/ebonyworks/ebonyworks/coordination/fanout"
 	"github.com/ebonyworks/ebonyworks/coordination/hedgedelay"
 	"github.com/ebonyworks/ebonyworks/coordination/membership"
+	"github.com/ebonyworks/ebonyworks/coordination/permitissuer"
+	"github.com/ebonyworks/ebonyworks/coordination/permits"
 	"github.com/ebonyworks/ebonyworks/coordination/priorityshedding"
 	"github.com/ebonyworks/ebonyworks/coordination/quarantine"
 	"github.com/ebonyworks/ebonyworks/coordination/quota"
@@ -68,7 +70,10 @@
 	ForwardPeer ebonyworks.ForwardPeer
 	// StorePeer reads the store through other hosts. Nil means that this host
 	// reads it itself.
-	StorePeer   ebonyworks.StorePeer
+	StorePeer ebonyworks.StorePeer
+	// PermitPeer takes permits for rate-limited servers from other hosts. Nil means
+	// that only a host that knows of no others sends requests to such servers.
+	PermitPeer  ebonyworks.PermitPeer
 	Store       ebonyworks.StoreReader
 	Backend     ebonyworks.ForwardBackend
 	Connections ConnectionPool
@@ -108,7 +113,13 @@
 	reporter         *quarantine.Reporter
 	subsetChooser    subset.Chooser
 	hostCount        hostCounter
-	stopping         atomic.Bool
+	aliveShare       aliveShare
+	permits          *permits.Client
+	// startedAt is when New returned.
+	startedAt time.Time
+	stopping  atomic.Bool
+	// left is set once the other hosts are told that this one is stopping.
+	left atomic.Bool
 }
 
 var _ ebonyworks.Forwarder = (*Gateway)(nil)
@@ -129,8 +140,9 @@
 func New(options Options) *Gateway {
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(options.Seed, stream)) }
 	g := &Gateway{
-		options:  options,
-		registry: &serverregistry.Registry{},
+		options:   options,
+		startedAt: time.Now(),
+		registry:  &serverregistry.Registry{},
 		serverStates: &serverstate.Table{
 			Random:         random(serverStateStream),
 			Recorder:       options.Recorder,
@@ -177,6 +189,16 @@
 		Changed:             g.pruneState,
 		RegistrationChanged: g.registrationChanged,
 	}
+	g.permits = &permits.Client{
+		Self:     options.Self,
+		Alive:    g.cluster.Alive,
+		Ready:    g.mayIssuePermits,
+		Peer:     options.PermitPeer,
+		Limits:   g.serverStates,
+		Issuer:   &permitissuer.Issuer{Limits: g.serverStates, Share: g.aliveShare.Share},
+		Recorder: options.Recorder,
+	}
+	g.serverStates.OnRateLimitChange = g.permits.LimitChanged
 	g.storeRelay = storerelay.New(g.follower, g.storeSource)
 	g.forwarder = &fanout.Forwarder{
 		Domain:           options.Self.Domain,
@@ -191,6 +213,7 @@
 		RouteLimiter:     g.routeLimiter,
 		Backend:          options.Backend,
 		Quarantine:       g.quarantine,
+		Permits:          g.permits,
 		Observer:         options.Observer,
 		Recorder:         options.Recorder,
 	}
@@ -202,6 +225,7 @@
 			Selection:    selection.New(random(delegationStream)),
 			HostStates:   &serverstate.Table{Random: random(hostStateStream), ProbeByRequest: true},
 			OnDrainState: g.serverStates.RecordDrainAnnouncement,
+			OnRateLimit:  g.serverStates.MergeRateLimit,
 			Recorder:     options.Recorder,
 		}
 	}
@@ -221,7 +245,7 @@
 // context ends.
 func (g *Gateway) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){g.follower.Run, g.cluster.Run, g.reporter.Run} {
+	for _, loop := range []func(context.Context){g.follower.Run, g.cluster.Run, g.reporter.Run, g.permits.Run} {
 		loops.Go(func() { loop(ctx) })
 	}
 	g.updateHostCount()
@@ -266,7 +290,10 @@
 func (g *Gateway) SetRetryBudget(bound retrybudget.Bound) { g.retryBudget.SetBound(bound) }
 
 // Leave announces to the other hosts that this one is stopping.
-func (g *Gateway) Leave(ctx context.Context) { g.cluster.Leave(ctx) }
+func (g *Gateway) Leave(ctx context.Context) {
+	g.left.Store(true)
+	g.cluster.Leave(ctx)
+}
 
 // BeginStop makes the host not ready. Requests that still arrive are answered.
 func (g *Gateway) BeginStop() {
@@ -349,6 +376,11 @@
 	return s.gateway.serverStates.Availability(server)
 }
 
+// RateLimited returns the servers that need a permit, or nil if there are none.
+func (s candidateSource) RateLimited() map[ebonyworks.ServerID]bool {
+	return s.gateway.serverStates.RateLimited()
+}
+
 // Unavailable returns the servers that get no request now, or nil if there are none.
 func (s candidateSource) Unavailable() map[ebonyworks.ServerID]bool {
 	return s.gateway.serverStates.Unavailable()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -39,7 +39,7 @@
 	largestAt time.Time
 	// stable is set once the number of hosts hasn't grown for stabilizationTime, since
 	// grownAt. It is never cleared.
-	stable  bool
+	stable  atomic.Bool
 	grownAt time.Time
 }
 
@@ -64,14 +64,19 @@
 		c.largest = known
 		c.largestAt = now
 	}
-	c.stable = c.stable || c.single || now.Sub(c.grownAt) >= stabilizationTime
+	if c.single || now.Sub(c.grownAt) >= stabilizationTime {
+		c.stable.Store(true)
+	}
 	hosts := c.largest
-	if !c.stable {
+	if !c.stable.Load() {
 		hosts = max(hosts, assumedHosts)
 	}
 	return c.hosts.Swap(int64(hosts)) != int64(hosts)
 }
 
+// Stable reports whether the number of hosts is trusted.
+func (c *hostCounter) Stable() bool { return c.stable.Load() }
+
 // WithHeadroom returns the estimate plus a reserve for hosts that are starting.
 func (c *hostCounter) WithHeadroom() int {
 	hosts := c.Hosts()
@@ -122,3 +127,31 @@
 	}
 	return false
 }
+
+// aliveShare is the fraction of the hosts that this host sees alive. Of a limit for all
+// hosts together, it leaves the rest to those that it doesn't see: they may run behind a
+// partition. The zero value assumes that all are alive.
+type aliveShare struct {
+	// share holds the bits of the fraction, or zero for 1.
+	share atomic.Uint64
+	// largest is the largest recent number of hosts, last counted at largestAt. Both
+	// belong to the goroutine that calls update.
+	largest   int
+	largestAt time.Time
+}
+
+// update records the number of hosts that are alive now, this one included.
+func (a *aliveShare) update(alive int, now time.Time) {
+	if alive >= a.largest || now.Sub(a.largestAt) > decreaseDelay {
+		a.largest, a.largestAt = alive, now
+	}
+	a.share.Store(math.Float64bits(float64(alive) / float64(a.largest)))
+}
+
+// Share returns the fraction, above 0 and up to 1.
+func (a *aliveShare) Share() float64 {
+	if bits := a.share.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return 1
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,6 +16,7 @@
 	_ ebonyworks.PeerHandler        = (*Gateway)(nil)
 	_ ebonyworks.ForwardPeerHandler = (*Gateway)(nil)
 	_ ebonyworks.StorePeerHandler   = (*Gateway)(nil)
+	_ ebonyworks.PermitPeerHandler  = (*Gateway)(nil)
 )
 
 var (
@@ -49,6 +50,20 @@
 	return g.forwarder.ForwardDelegated(ctx, request, delegation)
 }
 
+// HandleTakePermits issues permits for rate-limited servers, or declines if another
+// host issues them.
+func (g *Gateway) HandleTakePermits(_ context.Context, request ebonyworks.PermitRequest) (ebonyworks.PermitReply, error) {
+	g.cluster.CheckPause()
+	return g.permits.Handle(request), nil
+}
+
+// mayIssuePermits reports whether this host knows the other hosts well enough to issue
+// permits, and hasn't told them that it is stopping.
+func (g *Gateway) mayIssuePermits() bool {
+	known := g.hostCount.Stable() || time.Since(g.startedAt) > decreaseDelay
+	return known && !g.left.Load()
+}
+
 // HandleFetchManifest fails, because a gateway gets its configuration from the store
 // and has no manifest.
 func (g *Gateway) HandleFetchManifest(context.Context) ([]byte, error) { return nil, errNoDocuments }
@@ -83,6 +98,7 @@
 // number of hosts.
 func (g *Gateway) updateHostCount() {
 	alive := g.cluster.Alive()
+	g.aliveShare.update(len(alive)+1, time.Now())
 	if !g.hostCount.update(shareCount(g.options.Self, alive), time.Now()) {
 		return
 	}
@@ -107,6 +123,7 @@
 func (s storeGossip) Contribute(message *ebonyworks.GossipMessage, _ int) {
 	message.Version.Revision = ebonyworks.Revision(s.gateway.follower.LatestKnownRevision())
 	_, message.Synced = s.gateway.storeSource.Age()
+	message.RateLimitsKnown = s.gateway.serverStates.CountRateLimited() > 0
 }
 
 // Receive learns of newer revisions, and that the sender may serve as a source of the
@@ -116,6 +133,9 @@
 	if message.Synced {
 		s.gateway.storeSource.SuggestSource(message.From)
 	}
+	if message.RateLimitsKnown && s.gateway.serverStates.CountRateLimited() == 0 {
+		s.gateway.permits.Suggest()
+	}
 }
 
 // MarkStale stops this host from relaying its copy of the store until a source has
@@ -123,4 +143,5 @@
 func (s storeGossip) MarkStale() {
 	s.gateway.storeSource.MarkStale()
 	s.gateway.follower.RestartWatch()
+	s.gateway.permits.Reset()
 }
--- a/peer.go
+++ b/peer.go
@@ -108,6 +108,8 @@
 	Members     []Member
 	DrainStates []DrainState
 	Crashes     []CrashReport
+	// RateLimitsKnown is set if the sender knows of servers with a rate limit.
+	RateLimitsKnown bool
 }
 
 // Delivery tells whether a request that was sent to a peer was delivered.
--- a/policy.go
+++ b/policy.go
@@ -38,6 +38,8 @@
 	// Backoff is how much longer the server refuses requests of this host; zero if
 	// it accepts them. A server in backoff is never selected.
 	Backoff time.Duration
+	// RateLimited is set if an attempt at the server needs a permit.
+	RateLimited bool
 }
 
 // Availability tells whether requests may be sent to a server now. With the zero
@@ -48,7 +50,7 @@
 	// Backoff is how much longer the server refuses requests of this host.
 	Backoff time.Duration
 	// RateLimited is set if the server takes only a limited number of requests a second
-	// from all hosts together.
+	// from all hosts together, so that an attempt needs a permit.
 	RateLimited bool
 }
 
--- a/protocol/dispatch/ebonyworks/peer/v1/peerv1connect/peer.connect.go
+++ b/protocol/dispatch/ebonyworks/peer/v1/peerv1connect/peer.connect.go
@@ -55,6 +55,8 @@
 	PeerServiceForwardProcedure = "/ebonyworks.peer.v1.PeerService/Forward"
 	// PeerServiceFollowProcedure is the fully-qualified name of the PeerService's Follow RPC.
 	PeerServiceFollowProcedure = "/ebonyworks.peer.v1.PeerService/Follow"
+	// PeerServiceTakePermitsProcedure is the fully-qualified name of the PeerService's TakePermits RPC.
+	PeerServiceTakePermitsProcedure = "/ebonyworks.peer.v1.PeerService/TakePermits"
 )
 
 // PeerServiceClient is a client for the ebonyworks.peer.v1.PeerService service.
@@ -80,6 +82,8 @@
 	Forward(context.Context, *v1.ForwardRequest) (*v1.ForwardResponse, error)
 	// Follow returns what a host knows of the platform's store.
 	Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error)
+	// TakePermits takes permits to send a request to rate-limited servers.
+	TakePermits(context.Context, *v1.TakePermitsRequest) (*v1.TakePermitsResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the ebonyworks.peer.v1.PeerService service. By
@@ -153,21 +157,28 @@
 			connect.WithSchema(peerServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		takePermits: connect.NewClient[v1.TakePermitsRequest, v1.TakePermitsResponse](
+			httpClient,
+			baseURL+PeerServiceTakePermitsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("TakePermits")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange  *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	relay     *connect.Client[v1.RelayRequest, v1.RelayResponse]
-	fetchHead *connect.Client[v1.FetchHeadRequest, v1.FetchHeadResponse]
-	fetchPart *connect.Client[v1.FetchPartRequest, v1.FetchPartResponse]
-	reserve   *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
-	outcome   *connect.Client[v1.OutcomeRequest, v1.OutcomeResponse]
-	handOver  *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
-	report    *connect.Client[v1.ReportRequest, v1.ReportResponse]
-	forward   *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
-	follow    *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	exchange    *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	relay       *connect.Client[v1.RelayRequest, v1.RelayResponse]
+	fetchHead   *connect.Client[v1.FetchHeadRequest, v1.FetchHeadResponse]
+	fetchPart   *connect.Client[v1.FetchPartRequest, v1.FetchPartResponse]
+	reserve     *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
+	outcome     *connect.Client[v1.OutcomeRequest, v1.OutcomeResponse]
+	handOver    *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	report      *connect.Client[v1.ReportRequest, v1.ReportResponse]
+	forward     *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	follow      *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	takePermits *connect.Client[v1.TakePermitsRequest, v1.TakePermitsResponse]
 }
 
 // Exchange calls ebonyworks.peer.v1.PeerService.Exchange.
@@ -260,6 +271,15 @@
 	return nil, err
 }
 
+// TakePermits calls ebonyworks.peer.v1.PeerService.TakePermits.
+func (c *peerServiceClient) TakePermits(ctx context.Context, req *v1.TakePermitsRequest) (*v1.TakePermitsResponse, error) {
+	response, err := c.takePermits.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the ebonyworks.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange probes a host and swaps facts with it.
@@ -283,6 +303,8 @@
 	Forward(context.Context, *v1.ForwardRequest) (*v1.ForwardResponse, error)
 	// Follow returns what a host knows of the platform's store.
 	Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error)
+	// TakePermits takes permits to send a request to rate-limited servers.
+	TakePermits(context.Context, *v1.TakePermitsRequest) (*v1.TakePermitsResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -352,6 +374,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceTakePermitsHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceTakePermitsProcedure,
+		svc.TakePermits,
+		connect.WithSchema(peerServiceMethods.ByName("TakePermits")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ebonyworks.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -374,6 +402,8 @@
 			peerServiceForwardHandler.ServeHTTP(w, r)
 		case PeerServiceFollowProcedure:
 			peerServiceFollowHandler.ServeHTTP(w, r)
+		case PeerServiceTakePermitsProcedure:
+			peerServiceTakePermitsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -422,3 +452,7 @@
 func (UnimplementedPeerServiceHandler) Follow(context.Context, *v1.FollowRequest) (*v1.FollowResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ebonyworks.peer.v1.PeerService.Follow is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) TakePermits(context.Context, *v1.TakePermitsRequest) (*v1.TakePermitsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ebonyworks.peer.v1.PeerService.TakePermits is not implemented"))
+}
--- a/protocol/peerproto/forward.go
+++ b/protocol/peerproto/forward.go
@@ -66,6 +66,7 @@
 		RetryAfterMilliseconds: toMilliseconds(reply.RetryAfter),
 		Reason:                 reply.Reason,
 		Departures:             encodeDrainStates(reply.DrainStates),
+		RateLimits:             encodeRateLimits(reply.RateLimits),
 	}
 }
 
@@ -88,6 +89,7 @@
 		RetryAfter:  boundedDuration(int64(min(wire.GetRetryAfterMilliseconds(), math.MaxInt32)), time.Millisecond),
 		Reason:      wire.GetReason(),
 		DrainStates: decodeDrainStates(wire.GetDepartures()),
+		RateLimits:  decodeRateLimits(wire.GetRateLimits()),
 	}, true
 }
 
--- a/protocol/peerproto/peerproto.go
+++ b/protocol/peerproto/peerproto.go
@@ -39,6 +39,8 @@
 		Crashes: EncodeCrashes(message.Crashes),
 		Settled: message.Synced,
 		Full:    message.Full,
+
+		RateLimitsKnown: message.RateLimitsKnown,
 	}
 	if message.Confirmed {
 		// The age is rounded up, so that a confirmation never seems newer than it is.
@@ -61,6 +63,8 @@
 		ConfirmedAge: fromMilliseconds(facts.GetConfirmedAgeMilliseconds()),
 		ConfirmedBy:  ebonyworks.HostID(facts.GetConfirmedBy()),
 		Full:         facts.GetFull(),
+
+		RateLimitsKnown: facts.GetRateLimitsKnown(),
 	}
 	if len(message.ConfirmedBy) > MaxNameBytes {
 		return ebonyworks.GossipMessage{}, errors.Wrap(ErrInvalidName, "confirming host")
--- /dev/null
+++ b/protocol/peerproto/permits.go
@@ -0,0 +1,132 @@
+package peerproto
+
+import (
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ebonyworks/ebonyworks"
+	peerv1 "github.com/ebonyworks/ebonyworks/protocol/dispatch/ebonyworks/peer/v1"
+)
+
+const (
+	// maxRateLimits bounds the rate limits that are decoded from one message.
+	maxRateLimits = 8192
+	// maxPermitGroups bounds the groups of one request, and maxGroupServers the servers
+	// of one group.
+	maxPermitGroups = 4096
+	maxGroupServers = 256
+)
+
+// EncodePermitRequest encodes a request for permits.
+func EncodePermitRequest(request ebonyworks.PermitRequest) *peerv1.TakePermitsRequest {
+	wire := &peerv1.TakePermitsRequest{
+		Service:  string(request.Service),
+		Priority: int32(request.Priority),
+		Needed:   uint32(max(request.Needed, 0)),
+		Limits:   encodeRateLimits(request.Limits),
+	}
+	if request.Known {
+		wire.KnownAgeMilliseconds = proto.Uint64(toMilliseconds(request.KnownAge + time.Millisecond - 1))
+	}
+	for _, group := range request.Groups {
+		encoded := &peerv1.PermitGroup{Optional: group.Optional, Servers: make([]string, 0, len(group.Servers))}
+		for _, server := range group.Servers {
+			encoded.Servers = append(encoded.Servers, string(server))
+		}
+		wire.Groups = append(wire.Groups, encoded)
+	}
+	return wire
+}
+
+// DecodePermitRequest decodes a request for permits.
+func DecodePermitRequest(wire *peerv1.TakePermitsRequest) (ebonyworks.PermitRequest, error) {
+	if len(wire.GetGroups()) > maxPermitGroups || len(wire.GetService()) > MaxNameBytes {
+		return ebonyworks.PermitRequest{}, ErrInvalidName
+	}
+	request := ebonyworks.PermitRequest{
+		Service:  ebonyworks.ServiceID(wire.GetService()),
+		Priority: int(wire.GetPriority()),
+		Needed:   int(min(wire.GetNeeded(), maxPermitGroups)),
+		Limits:   decodeRateLimits(wire.GetLimits()),
+		Known:    wire.KnownAgeMilliseconds != nil,
+		KnownAge: fromMilliseconds(wire.GetKnownAgeMilliseconds()),
+	}
+	for _, encoded := range wire.GetGroups() {
+		if len(encoded.GetServers()) == 0 || len(encoded.GetServers()) > maxGroupServers {
+			return ebonyworks.PermitRequest{}, ErrMissingMessage
+		}
+		group := ebonyworks.PermitGroup{Optional: encoded.GetOptional()}
+		for _, server := range encoded.GetServers() {
+			if !validName(server) {
+				return ebonyworks.PermitRequest{}, ErrInvalidName
+			}
+			group.Servers = append(group.Servers, ebonyworks.ServerID(server))
+		}
+		request.Groups = append(request.Groups, group)
+	}
+	return request, nil
+}
+
+// EncodePermitReply encodes the answer to a request for permits.
+func EncodePermitReply(reply ebonyworks.PermitReply) *peerv1.TakePermitsResponse {
+	wire := &peerv1.TakePermitsResponse{
+		Declined:               reply.Declined,
+		RetryAfterMilliseconds: toMilliseconds(reply.RetryAfter + time.Millisecond - 1),
+		Limits:                 encodeRateLimits(reply.Limits),
+	}
+	for _, index := range reply.Granted {
+		wire.Granted = append(wire.Granted, uint32(index+1))
+	}
+	return wire
+}
+
+// DecodePermitReply decodes the answer to a request for permits. The sender checks that
+// the indexes are in range.
+func DecodePermitReply(wire *peerv1.TakePermitsResponse) ebonyworks.PermitReply {
+	reply := ebonyworks.PermitReply{
+		Declined:   wire.GetDeclined(),
+		RetryAfter: boundedDuration(int64(min(wire.GetRetryAfterMilliseconds(), math.MaxInt32)), time.Millisecond),
+		Limits:     decodeRateLimits(wire.GetLimits()),
+	}
+	for _, index := range wire.GetGranted() {
+		reply.Granted = append(reply.Granted, int(min(index, math.MaxInt32))-1)
+	}
+	return reply
+}
+
+func encodeRateLimits(limits []ebonyworks.RateLimit) []*peerv1.RateLimit {
+	var encoded []*peerv1.RateLimit
+	for _, limit := range limits {
+		encoded = append(encoded, &peerv1.RateLimit{
+			Server:            string(limit.Server),
+			Incarnation:       uint64(limit.Incarnation),
+			Limited:           limit.Limited,
+			RequestsPerSecond: float64(limit.Rate),
+			// The age is rounded up, so that a statement never seems later than it is.
+			AgeMilliseconds: toMilliseconds(limit.Age + time.Millisecond - 1),
+		})
+	}
+	return encoded
+}
+
+// decodeRateLimits decodes up to maxRateLimits entries. It omits entries without a valid
+// server name or rate.
+func decodeRateLimits(wire []*peerv1.RateLimit) []ebonyworks.RateLimit {
+	var limits []ebonyworks.RateLimit
+	for _, encoded := range wire[:min(len(wire), maxRateLimits)] {
+		rate := encoded.GetRequestsPerSecond()
+		if !validName(encoded.GetServer()) || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+			continue
+		}
+		limits = append(limits, ebonyworks.RateLimit{
+			Server:      ebonyworks.ServerID(encoded.GetServer()),
+			Incarnation: ebonyworks.Incarnation(encoded.GetIncarnation()),
+			Limited:     encoded.GetLimited(),
+			Rate:        ebonyworks.RequestRate(rate),
+			Age:         fromMilliseconds(encoded.GetAgeMilliseconds()),
+		})
+	}
+	return limits
+}
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -56,6 +56,11 @@
 	n.cut[address] = cut
 }
 
+// PermitLink returns the client for permits of the host at the address.
+func (n *Network) PermitLink(address netip.AddrPort) ebonyworks.PermitPeer {
+	return link{network: n, address: address}
+}
+
 // Link returns the client of the host at the address.
 func (n *Network) Link(address netip.AddrPort) ebonyworks.Peer {
 	return link{network: n, address: address}
@@ -146,3 +151,16 @@
 	}
 	return handler.HandleReportCrashes(ctx, reports)
 }
+
+// TakePermits takes permits from the host.
+func (l link) TakePermits(ctx context.Context, from ebonyworks.Host, request ebonyworks.PermitRequest) (ebonyworks.PermitReply, error) {
+	handler, err := l.reach(ctx, from.Address)
+	if err != nil {
+		return ebonyworks.PermitReply{}, err
+	}
+	issuer, ok := handler.(ebonyworks.PermitPeerHandler)
+	if !ok {
+		return ebonyworks.PermitReply{Declined: true}, nil
+	}
+	return issuer.HandleTakePermits(ctx, request)
+}
--- a/state/serverstate/candidates.go
+++ b/state/serverstate/candidates.go
@@ -180,6 +180,7 @@
 func (r *Table) fillCandidate(known *record, candidate *ebonyworks.Candidate, mayProbe bool, now time.Time) {
 	candidate.Incarnation = known.incarnation
 	candidate.Backoff = known.backoffLeft(now)
+	candidate.RateLimited = known.limit.limited
 	candidate.Latency = known.decayed(now)
 	if known.slow {
 		// The latency saved within the same domain is a small part of a straggler's
--- a/state/serverstate/ratelimit.go
+++ b/state/serverstate/ratelimit.go
@@ -22,18 +22,16 @@
 	changedAt time.Time
 }
 
-// RateLimit returns the rate limit of the server, or false if it has none.
-func (r *Table) RateLimit(server ebonyworks.ServerID) (ebonyworks.RequestRate, bool) {
-	if r.limited.Load() == 0 {
-		return 0, false
-	}
+// RateLimit returns what the server last stated about its rate limit, or false if it
+// has never named one.
+func (r *Table) RateLimit(server ebonyworks.ServerID) (ebonyworks.RateLimit, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	known := r.servers[server]
-	if known == nil || !known.limit.limited {
-		return 0, false
+	if known == nil || known.limit.statedAt.IsZero() {
+		return ebonyworks.RateLimit{}, false
 	}
-	return known.limit.rate, true
+	return known.rateLimit(server, time.Now()), true
 }
 
 // CountRateLimited returns the number of servers with a rate limit.
@@ -66,17 +64,22 @@
 		if known.limit.statedAt.IsZero() || known.limit.changedAt.Before(since) {
 			continue
 		}
-		limits = append(limits, ebonyworks.RateLimit{
-			Server:      id,
-			Incarnation: known.incarnation,
-			Limited:     known.limit.limited,
-			Rate:        known.limit.rate,
-			Age:         now.Sub(known.limit.statedAt),
-		})
+		limits = append(limits, known.rateLimit(id, now))
 	}
 	return limits
 }
 
+// rateLimit returns what the server stated about its rate limit, for other hosts.
+func (k *record) rateLimit(server ebonyworks.ServerID, now time.Time) ebonyworks.RateLimit {
+	return ebonyworks.RateLimit{
+		Server:      server,
+		Incarnation: k.incarnation,
+		Limited:     k.limit.limited,
+		Rate:        k.limit.rate,
+		Age:         now.Sub(k.limit.statedAt),
+	}
+}
+
 // MergeRateLimit merges a rate limit that another host learned of. The latest
 // statement of the latest incarnation applies.
 func (r *Table) MergeRateLimit(limit ebonyworks.RateLimit) {
@@ -95,34 +98,33 @@
 }
 
 // applyRateLimit applies what the current incarnation of the server stated at the
-// given time.
-func (r *Table) applyRateLimit(known *record, server ebonyworks.ServerID, report ebonyworks.RateLimitReport, statedAt, now time.Time) {
-	if !report.Stated || statedAt.Before(known.limit.statedAt) {
-		return
-	}
+// given time. It reports whether the limit changed.
+func (r *Table) applyRateLimit(known *record, server ebonyworks.ServerID, report ebonyworks.RateLimitReport, statedAt, now time.Time) bool {
 	before := known.limit
-	if !report.Limited {
-		if before.statedAt.IsZero() {
-			return
-		}
-		known.limit = rateLimit{statedAt: statedAt, changedAt: before.changedAt}
-		if before.limited {
-			known.limit.changedAt = now
-			r.limited.Add(-1)
-			r.recordEvent(event.ServerRateLimitEnded, server)
-		}
-		return
+	neverLimited := before.statedAt.IsZero() && !report.Limited
+	if !report.Stated || neverLimited || statedAt.Before(before.statedAt) {
+		return false
 	}
-	known.limit = rateLimit{limited: true, rate: report.Rate, statedAt: statedAt, changedAt: before.changedAt}
-	if !before.limited {
-		r.limited.Add(1)
+	known.limit = rateLimit{limited: report.Limited, statedAt: statedAt, changedAt: before.changedAt}
+	if report.Limited {
+		known.limit.rate = report.Rate
 	}
-	if !before.limited || before.rate != report.Rate {
-		known.limit.changedAt = now
-		r.recordEvent(event.ServerRateLimited, server,
-			event.Attribute("PerSecond", strconv.FormatFloat(float64(report.Rate), 'g', -1, 64)),
-			event.Attribute("Age", now.Sub(statedAt).Round(time.Millisecond).String()))
+	if known.limit.limited == before.limited && known.limit.rate == before.rate {
+		return false
+	}
+	known.limit.changedAt = now
+	switch {
+	case !report.Limited:
+		r.limited.Add(-1)
+		r.recordEvent(event.ServerRateLimitEnded, server)
+		return true
+	case !before.limited:
+		r.limited.Add(1)
 	}
+	r.recordEvent(event.ServerRateLimited, server,
+		event.Attribute("PerSecond", strconv.FormatFloat(float64(report.Rate), 'g', -1, 64)),
+		event.Attribute("Age", now.Sub(statedAt).Round(time.Millisecond).String()))
+	return true
 }
 
 // clearRateLimit forgets the rate limit of an earlier incarnation.
--- a/state/serverstate/serverstate.go
+++ b/state/serverstate/serverstate.go
@@ -83,6 +83,9 @@
 	// requests while no other server of its service accepts any. Zero means that it
 	// gets none.
 	DrainGrace time.Duration
+	// OnRateLimitChange is called when a response states another rate limit than before.
+	// It must not block or call the table. It may be nil.
+	OnRateLimitChange func()
 
 	mutex sync.Mutex
 	// servers has at most MaxServers entries.
--- a/transport/peerrpc/client.go
+++ b/transport/peerrpc/client.go
@@ -57,6 +57,7 @@
 	_ ebonyworks.Peer        = (*Client)(nil)
 	_ ebonyworks.ForwardPeer = (*Client)(nil)
 	_ ebonyworks.StorePeer   = (*Client)(nil)
+	_ ebonyworks.PermitPeer  = (*Client)(nil)
 )
 
 // NewClient returns a client. A nil dial opens TCP connections.
@@ -190,6 +191,15 @@
 	return report, nil
 }
 
+// TakePermits takes permits for rate-limited servers from the host.
+func (c *Client) TakePermits(ctx context.Context, from ebonyworks.Host, request ebonyworks.PermitRequest) (ebonyworks.PermitReply, error) {
+	reply, err := c.client(from.Address).TakePermits(ctx, peerproto.EncodePermitRequest(request))
+	if err != nil {
+		return ebonyworks.PermitReply{}, errors.Wrapf(err, "take permits from %s", from.ID)
+	}
+	return peerproto.DecodePermitReply(reply), nil
+}
+
 // client returns the cached RPC client for the address.
 func (c *Client) client(address netip.AddrPort) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
--- a/transport/peerrpc/limits.go
+++ b/transport/peerrpc/limits.go
@@ -11,6 +11,8 @@
 const (
 	maxGossipBytes      = 64 << 10
 	maxReservationBytes = 1 << 20
+	// maxPermitBytes allows the limits of 8,192 servers, and the servers of all shards.
+	maxPermitBytes = 1 << 20
 	// maxDocumentBytes allows a value of 1 MiB and the message around it.
 	maxDocumentBytes = 1<<20 + 1<<10
 	// maxReportBytes allows a report on the whole store: a configuration of 1 MiB,
@@ -52,6 +54,8 @@
 		return limit{requestBytes: maxForwardBytes, responseBytes: maxForwardBytes, timeout: forwardTimeout}
 	case peerv1connect.PeerServiceReserveProcedure, peerv1connect.PeerServiceOutcomeProcedure:
 		return limit{requestBytes: maxReservationBytes, responseBytes: maxReservationBytes, timeout: reservationTimeout}
+	case peerv1connect.PeerServiceTakePermitsProcedure:
+		return limit{requestBytes: maxPermitBytes, responseBytes: maxPermitBytes, timeout: gossipTimeout}
 	case peerv1connect.PeerServiceHandOverProcedure:
 		return limit{requestBytes: maxLedgerBytes, responseBytes: maxGossipBytes, timeout: ledgerTimeout}
 	default:
--- a/transport/peerrpc/server.go
+++ b/transport/peerrpc/server.go
@@ -237,6 +237,23 @@
 	return peerproto.EncodeStoreReport(&report, changes), nil
 }
 
+// TakePermits issues permits for rate-limited servers. Hosts without permits decline.
+func (s *service) TakePermits(ctx context.Context, request *peerv1.TakePermitsRequest) (*peerv1.TakePermitsResponse, error) {
+	handler, ok := s.handler.(ebonyworks.PermitPeerHandler)
+	if !ok {
+		return &peerv1.TakePermitsResponse{Declined: true}, nil
+	}
+	decoded, err := peerproto.DecodePermitRequest(request)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	reply, err := handler.HandleTakePermits(ctx, decoded)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return peerproto.EncodePermitReply(reply), nil
+}
+
 var errNoStore = errors.New("this host reads no store")
 
 func unavailable(err error) error { return connect.NewError(connect.CodeUnavailable, err) }
