--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -83,6 +83,8 @@
 	limitShards   = 4
 	limitReplicas = 3
 	limitWork     = 10 * time.Millisecond
+	// limitLoad is the number of requests a second of all callers.
+	limitLoad = 60
 )
 
 func limitServer(shard, replica int) ebonyworks.ServerID {
@@ -250,9 +252,9 @@
 }
 
 // load sends requests on the route for the time, to hosts that choose selects.
-func (f *limitFleet) load(path string, perSecond int, duration time.Duration, choose func() int) {
-	for i := range int(duration.Seconds() * float64(perSecond)) {
-		time.Sleep(time.Second / time.Duration(perSecond))
+func (f *limitFleet) load(path string, duration time.Duration, choose func() int) {
+	for i := range int(duration.Seconds() * limitLoad) {
+		time.Sleep(time.Second / limitLoad)
 		host := f.hosts[choose()]
 		if !host.isRunning() {
 			continue
@@ -310,12 +312,12 @@
 				random := rand.New(rand.NewPCG(1, uint64(hosts)))
 				f := newLimitFleet(t, hosts)
 				everyHost := func() int { return random.IntN(hosts) }
-				f.load("/all/1", 60, 2*time.Second, everyHost)
+				f.load("/all/1", 2*time.Second, everyHost)
 				for replica := range limitReplicas {
 					f.name(limitServer(0, replica), 4.5)
 				}
-				f.load("/all/2", 60, 15*time.Second, everyHost)
-				f.load("/all/3", 60, 10*time.Second, func() int { return 0 })
+				f.load("/all/2", 15*time.Second, everyHost)
+				f.load("/all/3", 10*time.Second, func() int { return 0 })
 				f.requests.Wait()
 				f.assertLimits(0)
 			})
@@ -361,11 +363,11 @@
 			var churn sync.WaitGroup
 			churn.Go(func() { f.churn(rand.New(rand.NewPCG(seed, 3)), 90) })
 			for range 15 {
-				favourite := random.IntN(hosts)
+				favorite := random.IntN(hosts)
 				path := []string{"/all/1", "/quick/1", "/one/1"}[random.IntN(3)]
-				f.load(path, 60, 3*time.Second, func() int {
+				f.load(path, 3*time.Second, func() int {
 					if random.IntN(3) > 0 {
-						return favourite
+						return favorite
 					}
 					return random.IntN(hosts)
 				})
@@ -400,22 +402,22 @@
 					for replica := range limitReplicas {
 						f.name(limitServer(0, replica), limit)
 					}
-					f.load("/all/1", 60, 5*time.Second, choose)
+					f.load("/all/1", 5*time.Second, choose)
 					f.requests.Wait()
 					f.served = 0
-					f.load("/all/2", 60, seconds*time.Second, choose)
+					f.load("/all/2", seconds*time.Second, choose)
 					f.requests.Wait()
 					f.assertLimits(0)
 					assert.InDelta(t, limit*limitReplicas*seconds, f.served, 0.1*limit*limitReplicas*seconds)
 					for replica := range limitReplicas {
 						f.name(limitServer(0, replica), 0)
 					}
-					f.load("/all/3", 60, 4*time.Second, choose)
+					f.load("/all/3", 4*time.Second, choose)
 					f.requests.Wait()
 					f.served = 0
-					f.load("/all/4", 60, 2*time.Second, choose)
+					f.load("/all/4", 2*time.Second, choose)
 					f.requests.Wait()
-					assert.Equal(t, 120, f.served, "the limits have ended")
+					assert.Equal(t, 2*limitLoad, f.served, "the limits have ended")
 				})
 			})
 		}
