Show that a response cut in its head is never passed on as whole

Cause: a report of other operators: a server stops in the middle of its answer's head and closes, and callers get a 200 with an empty or short body. Here the head is read up to its empty line, and a connection that ends before is an error. Change: a test with responses cut at each third byte, on new and kept connections, of relayed and merged answers, and for a host that delegates. Measurement: TestCutHeadIsNoResponse passes without a change of the code.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -36,8 +36,11 @@
 	readinessAddress string
 	peerAddress      netip.AddrPort
 	serviceTime      atomic.Int64
-	stop             context.CancelFunc
-	stopped          chan error
+	// cutAt is the length in bytes to which servers cut their responses; zero means
+	// that they send them whole.
+	cutAt   atomic.Int64
+	stop    context.CancelFunc
+	stopped chan error
 }
 
 func freeAddress(t *testing.T) netip.AddrPort {
@@ -54,9 +57,15 @@
 	t.Helper()
 	server, err := rawserver.Listen(func(conn net.Conn, _ int, request *http.Request, _ []byte) bool {
 		time.Sleep(time.Duration(s.serviceTime.Load()))
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\nContent-Length: 16\r\n\r\n%-16s",
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\nContent-Length: 16\r\n\r\n%-16s",
 			request.Header.Get("Request-Id"), "stamp-"+name, name, name)
-		return err == nil
+		// A cut response ends with its connection.
+		cut := int(s.cutAt.Load())
+		if cut > 0 {
+			response = response[:min(cut, len(response)-1)]
+		}
+		_, err := io.WriteString(conn, response)
+		return err == nil && cut == 0
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = server.Close() })
@@ -275,3 +284,33 @@
 		return err == nil && response.status == http.StatusOK
 	}, 5*time.Second, 20*time.Millisecond)
 }
+
+// Guards against a response that a server cut in its head and that is passed on, or
+// merged, as a complete one with an empty or short body: on a new connection, on one
+// that is kept, and for a host that delegates the request.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	s := newTestGateway(t)
+	client := &http.Client{}
+	delegating := peerrpc.NewClient(nil)
+	const wholeResponse = "HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f68\r\nServer-Stamp: stamp-x\r\nX-Server: x\r\nContent-Length: 16\r\n\r\nx               "
+	for cut := 1; cut < len(wholeResponse); cut += 3 {
+		for _, prefix := range []string{"/one/", "/all/"} {
+			// Requests that are lost on a server are quarantined by their path.
+			path := fmt.Sprint(prefix, cut)
+			// A whole response leaves a connection that is kept.
+			s.cutAt.Store(0)
+			got, err := s.send(client, http.MethodPost, path, nil, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, got.status)
+			s.cutAt.Store(int64(cut))
+			for try := range 2 {
+				got, err = s.send(client, http.MethodPost, fmt.Sprint(path, "-", try), nil, nil)
+				require.NoError(t, err)
+				assert.GreaterOrEqual(t, got.status, http.StatusInternalServerError, "%s, cut after %d bytes", path, cut)
+			}
+		}
+		request := &ebonyworks.ForwardRequest{ID: ebonyworks.RequestID(fmt.Sprint("delegated-", cut)), Method: http.MethodGet, Host: "h.example", Target: fmt.Sprint("/all/d", cut), CallerTimeout: time.Second, Arrival: time.Now()}
+		reply, _ := delegating.Forward(t.Context(), ebonyworks.Host{ID: "host", Address: s.peerAddress}, request, ebonyworks.Delegation{Revision: 1, Fallbacks: []ebonyworks.ServerHash{1, 2}})
+		assert.NotEqual(t, ebonyworks.ReplyMerged, reply.Kind, "delegated, cut after %d bytes", cut)
+	}
+}
