Answer every request of a planned stop before the process exits

Callers that sent requests on kept connections late in the grace period got a closed connection, also for requests that may not be repeated. Cause: requests were taken until the process ended, and nothing compared the time that they may take with the time that was left. Ruled out: closing kept connections at the start of the stop, which races with requests that are under way. Change: a stopping host refuses as not run what may take longer than it runs: requests that may not be repeated by their timeout, others by twice their target latency. 200 ms before the exit, requests in flight are answered: 502 if they may have run, else 503. Delegated requests are declined during a stop as before. Measurement: TestPlannedStopCutsNoLateRequests failed before (requests unanswered at the exit, one after 14 s in the test's process) and passes, 3 runs with -race.

--- a/coordination/fanout/forwarder.go
+++ b/coordination/fanout/forwarder.go
@@ -131,7 +131,10 @@
 	Observer         Observer
 	Delegator        Delegator
 	Permits          Permits
-	Recorder         ebonyworks.EventRecorder
+	// AnswerBy returns the time by which the host must have answered all requests, or
+	// the zero time if there is none. Nil means that there is none.
+	AnswerBy func() time.Time
+	Recorder ebonyworks.EventRecorder
 }
 
 var _ ebonyworks.Forwarder = (*Forwarder)(nil)
@@ -151,6 +154,9 @@
 		return f.reportUnrouted(request, table.Configuration().Revision, ebonyworks.ForwardReply{Kind: ebonyworks.ReplyNoRoute, Reason: "no route accepts the request"})
 	}
 	revision := table.Configuration().Revision
+	if f.endsTooLate(request, route) {
+		return f.reportUnrouted(request, revision, ebonyworks.ForwardReply{Kind: ebonyworks.ReplyRefused, Reason: "the host is stopping and may not answer the request in time"})
+	}
 	request.BodyOnly = route.IsSharded()
 	if f.Delegator == nil || !route.IsSharded() || len(request.Body) > maxDelegatedBody {
 		return f.run(ctx, request, route, revision, origin{})
@@ -172,11 +178,28 @@
 	return reply
 }
 
+// endsTooLate reports whether the request may take longer than the host runs. A request
+// that may be repeated is only refused if it is expected to take longer.
+func (f *Forwarder) endsTooLate(request *ebonyworks.ForwardRequest, route *routing.Route) bool {
+	if f.AnswerBy == nil {
+		return false
+	}
+	by := f.AnswerBy()
+	longest := requestTimeout(request, route)
+	if route.Idempotent {
+		longest = min(longest, lateFactor*route.TargetLatency)
+	}
+	return !by.IsZero() && request.Arrival.Add(longest).After(by)
+}
+
+// lateFactor times the target latency is how long requests take that are late.
+const lateFactor = 2
+
 // maxDelegatedBody bounds the bodies of delegated requests in bytes, because the
 // size of messages between hosts is bounded.
 const maxDelegatedBody = 1 << 20
 
-// reportUnrouted reports a request that no route was found for.
+// reportUnrouted reports a request that isn't run.
 func (f *Forwarder) reportUnrouted(request *ebonyworks.ForwardRequest, revision ebonyworks.Revision, reply ebonyworks.ForwardReply) ebonyworks.ForwardReply {
 	if f.Observer != nil {
 		f.Observer.Forwarded(Report{
--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/ebonyworks/ebonyworks"
 	"github.com/ebonyworks/ebonyworks/coordination/merging"
 	"github.com/ebonyworks/ebonyworks/coordination/routing"
@@ -146,6 +148,9 @@
 		case <-timer.C:
 			r.hedge(time.Now())
 		case <-ctx.Done():
+			if errors.Is(context.Cause(ctx), ebonyworks.ErrHostStopping) {
+				return r.failedReply(time.Now())
+			}
 			return ebonyworks.ForwardReply{Kind: ebonyworks.ReplyFailed, Reason: reasonCallerDisconnected}
 		}
 	}
--- a/forwarding.go
+++ b/forwarding.go
@@ -200,10 +200,15 @@
 	RateLimits []RateLimit
 }
 
+// ErrHostStopping is the cause of the end of a request's context if the host exits
+// before the request has ended.
+var ErrHostStopping = errors.New("the host is stopping")
+
 // Forwarder answers opaque requests.
 type Forwarder interface {
 	// Forward returns at the latest shortly after the timeout of the
-	// caller or the route. The context ends when the caller disconnects.
+	// caller or the route. The context ends when the caller disconnects, or with
+	// ErrHostStopping as its cause.
 	Forward(ctx context.Context, request *ForwardRequest) ForwardReply
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,9 @@
 	// startedAt is when New returned.
 	startedAt time.Time
 	stopping  atomic.Bool
+	// answerBy is the time by which all requests must be answered; nil until a planned
+	// stop has begun.
+	answerBy atomic.Pointer[time.Time]
 	// left is set once the other hosts are told that this one is stopping.
 	left atomic.Bool
 }
@@ -214,6 +217,7 @@
 		Backend:          options.Backend,
 		Quarantine:       g.quarantine,
 		Permits:          g.permits,
+		AnswerBy:         g.answerTime,
 		Observer:         options.Observer,
 		Recorder:         options.Recorder,
 	}
@@ -302,6 +306,18 @@
 	}
 }
 
+// AnswerBy sets the time by which all requests must be answered. Requests that may take
+// longer are refused from now on.
+func (g *Gateway) AnswerBy(by time.Time) { g.answerBy.Store(&by) }
+
+// answerTime returns the time set by AnswerBy, or zero.
+func (g *Gateway) answerTime() time.Time {
+	if by := g.answerBy.Load(); by != nil {
+		return *by
+	}
+	return time.Time{}
+}
+
 // Stopping reports whether a planned stop has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -80,6 +80,7 @@
 		Routes: []ebonyworks.ForwardRoute{
 			{ID: "all", Host: "h.example", Prefix: "/all/", Idempotent: true, Timeout: time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2, Shards: []ebonyworks.ServiceID{"x", "y"}, TopRecords: 5, MinCoverage: 0.75},
 			{ID: "long", Host: "h.example", Prefix: "/long/", Idempotent: true, Timeout: 5 * time.Second, TargetLatency: 4 * time.Second, MaxAttempts: 2, Backends: []ebonyworks.WeightedService{{Service: "x", Weight: 1}}},
+			{ID: "slow", Host: "h.example", Prefix: "/slow/", Timeout: 30 * time.Second, TargetLatency: time.Second, MaxAttempts: 1, Backends: []ebonyworks.WeightedService{{Service: "y", Weight: 1}}},
 			{ID: "one", Host: "h.example", Prefix: "/one/", Timeout: 5 * time.Second, TargetLatency: 100 * time.Millisecond, MaxAttempts: 2, Backends: []ebonyworks.WeightedService{{Service: "x", Weight: 1}}},
 		},
 		Services: []ebonyworks.ForwardService{{ID: "x", ConnectionCap: 26}, {ID: "y", ConnectionCap: 26}},
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -28,6 +28,9 @@
 	// exitMargin is the time before the end of the grace period at which requests in
 	// flight are abandoned.
 	exitMargin = 500 * time.Millisecond
+	// answerMargin is the time before that at which requests in flight are answered as
+	// failed, so that callers get a response.
+	answerMargin = 200 * time.Millisecond
 	// minDrainTime is the least time that requests in flight have to finish.
 	minDrainTime = time.Second
 	// defaultHeaderTimeout and defaultIdleTimeout apply until a configuration sets the
@@ -62,6 +65,8 @@
 	limitLoggedAt time.Time
 	// accepting is done once the last connection was handed to its server.
 	accepting sync.WaitGroup
+	// requests is the context of all requests of callers.
+	requests context.Context
 
 	mutex sync.Mutex
 	// current serves new connections of callers with limits, and retired are the
@@ -100,12 +105,15 @@
 	}
 	s.serve(newAuxiliaryServer(s.ReadinessHandler), readiness)
 	s.record(event.ProcessStarted, event.Attribute("Callers", s.CallerAddress.String()))
+	var endRequests context.CancelCauseFunc
+	s.requests, endRequests = context.WithCancelCause(context.WithoutCancel(ctx))
+	defer endRequests(nil)
 	gatewayCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.Gateway.Run(gatewayCtx)
 	s.accepting.Go(func() { s.accept(callers) })
 	<-ctx.Done()
-	s.stop(callers)
+	s.stop(callers, endRequests)
 	return nil
 }
 
@@ -191,6 +199,7 @@
 		ReadHeaderTimeout: positiveOr(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       positiveOr(limits.IdleTimeout, defaultIdleTimeout),
 		ErrorLog:          log.New(serverErrorLog{s}, "", 0),
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 		ConnState:         s.callerConnections.ConnState,
 	}
 	s.serve(server, handler)
@@ -219,13 +228,17 @@
 }
 
 // stop shuts down within the grace period.
-func (s *Server) stop(callers *drainlistener.Listener) {
+func (s *Server) stop(callers *drainlistener.Listener, endRequests context.CancelCauseFunc) {
 	begin := time.Now()
 	s.record(event.ProcessStopping, event.Attribute("Grace", s.GracePeriod.String()))
+	lameDuck := min(lameDuckPeriod, s.GracePeriod/2)
+	end := begin.Add(max(s.GracePeriod-exitMargin, lameDuck+minDrainTime))
+	s.Gateway.AnswerBy(end.Add(-answerMargin))
 	s.Gateway.BeginStop()
-	time.Sleep(min(lameDuckPeriod, s.GracePeriod/2))
-	remaining := max(s.GracePeriod-exitMargin-time.Since(begin), minDrainTime)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	answer := time.AfterFunc(time.Until(end)-answerMargin, func() { endRequests(ebonyworks.ErrHostStopping) })
+	defer answer.Stop()
+	time.Sleep(lameDuck)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Drain(ctx); err != nil {
 		s.record(event.StopIncomplete, event.Attribute("Error", err.Error()))
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -50,10 +52,80 @@
 	assert.Greater(t, answered.Load(), int64(maxCallerConnections))
 }
 
+// Guards against requests on kept connections that are taken late in the grace period
+// and cut without a response at its end, and against requests from before the stop that
+// are cut.
+func TestPlannedStopCutsNoLateRequests(t *testing.T) {
+	s := newTestGateway(t)
+	var clients sync.WaitGroup
+	var lastAnswer atomic.Int64
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", s.callerAddress)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	// The responses before the stop leave the connections open, idle for five seconds at most.
+	var kept []net.Conn
+	for range 10 {
+		conn := dial()
+		status, err := sendRequest(conn, "GET /all/1", 900)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		kept = append(kept, conn)
+	}
+	s.serviceTime.Store(int64(4 * time.Second))
+	for _, line := range []string{"GET /long/1", "POST /slow/1"} {
+		conn := dial()
+		clients.Go(func() {
+			status, err := sendRequest(conn, line, 20_000)
+			lastAnswer.Store(time.Now().UnixNano())
+			assert.NoError(t, err, "sent before the stop")
+			assert.NotZero(t, status)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	// Requests from now on take longer than the grace period.
+	s.serviceTime.Store(int64(20 * time.Second))
+	conn := dial()
+	clients.Go(func() {
+		status, err := sendRequest(conn, "POST /slow/2", 20_000)
+		lastAnswer.Store(time.Now().UnixNano())
+		assert.NoError(t, err, "sent before the stop")
+		assert.Equal(t, http.StatusBadGateway, status, "it may have run")
+	})
+	time.Sleep(100 * time.Millisecond)
+	s.stop()
+	var refused atomic.Int64
+	for i, conn := range kept {
+		time.Sleep(450 * time.Millisecond)
+		clients.Go(func() {
+			line := []string{"POST /one/1", "GET /long/2", "POST /slow/3", "GET /all/2"}[i%4]
+			status, err := sendRequest(conn, line, 4000)
+			lastAnswer.Store(time.Now().UnixNano())
+			assert.NoError(t, err, "%s, sent during the stop", line)
+			if status == http.StatusServiceUnavailable {
+				refused.Add(1)
+			}
+		})
+	}
+	require.NoError(t, <-s.stopped)
+	exited := time.Now()
+	clients.Wait()
+	assert.Less(t, time.Unix(0, lastAnswer.Load()).Sub(exited), 100*time.Millisecond, "the process exits once Run returns")
+	assert.Greater(t, refused.Load(), int64(5))
+}
+
 // sendOnce sends a request on the connection and returns the status code once the
 // complete response was read.
 func sendOnce(conn net.Conn) (int, error) {
-	const request = "GET /all/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 9c41d07be2a35f68\r\nDeadline-Ms: 900\r\nConnection: close\r\n\r\n"
+	return sendRequest(conn, "GET /all/1", 900, "Connection: close\r\n")
+}
+
+// sendRequest sends a request on the connection and returns the status code once the
+// complete response was read.
+func sendRequest(conn net.Conn, line string, deadlineMs int, header ...string) (int, error) {
+	request := fmt.Sprintf("%s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 9c41d07be2a35f68\r\nDeadline-Ms: %d\r\n%s\r\n", line, deadlineMs, strings.Join(header, ""))
 	if _, err := io.WriteString(conn, request); err != nil {
 		return 0, err
 	}
