Test each part of the permits for rate-limited servers, and count them

Cause: the fix was tested only as a whole. Metrics count permits issued and refused, and name the host that issues them.

--- a/coordination/permitissuer/permitissuer.go
+++ b/coordination/permitissuer/permitissuer.go
@@ -45,6 +45,8 @@
 	// buckets has at most maxBuckets entries.
 	buckets map[ebonyworks.ServerID]*bucket
 	shedder priorityshedding.Shedder
+	// issued counts the permits, and refused the groups that got none.
+	issued, refused uint64
 }
 
 // bucket holds the unused permits of one server.
@@ -77,11 +79,15 @@
 		}
 	}
 	if retryAfter, refused := i.refuse(request, waits); refused {
+		i.refused += uint64(len(request.Groups))
 		return ebonyworks.PermitReply{RetryAfter: retryAfter}
 	}
 	for index, group := range request.Groups {
 		if chosen := reply.Granted[index]; chosen != ebonyworks.NoPermit {
 			i.take(group.Servers[chosen], now)
+			i.issued++
+		} else {
+			i.refused++
 		}
 	}
 	return reply
@@ -180,6 +186,13 @@
 	})
 }
 
+// Counts returns the numbers of permits that were issued and refused since the start.
+func (i *Issuer) Counts() (issued, refused uint64) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.issued, i.refused
+}
+
 // Reset drops all unused permits. It is called after a pause of the process, during
 // which another host may have issued permits.
 func (i *Issuer) Reset() {
--- /dev/null
+++ b/coordination/permitissuer/permitissuer_test.go
@@ -0,0 +1,139 @@
+package permitissuer_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ebonyworks/ebonyworks"
+	"github.com/ebonyworks/ebonyworks/coordination/permitissuer"
+)
+
+// limits are the limits of servers by id. A server with a negative one has ended its
+// limit.
+type limits map[ebonyworks.ServerID]ebonyworks.RequestRate
+
+func (l limits) RateLimit(server ebonyworks.ServerID) (ebonyworks.RateLimit, bool) {
+	rate, known := l[server]
+	return ebonyworks.RateLimit{Server: server, Limited: rate >= 0, Rate: max(rate, 0)}, known
+}
+
+func group(servers ...ebonyworks.ServerID) ebonyworks.PermitGroup {
+	return ebonyworks.PermitGroup{Servers: servers}
+}
+
+// count returns how many of the requests get all permits in the time.
+func count(issuer *permitissuer.Issuer, request ebonyworks.PermitRequest, duration time.Duration) int {
+	granted := 0
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if reply := issuer.Issue(request); len(reply.Granted) > 0 && reply.Granted[0] != ebonyworks.NoPermit {
+			granted++
+		}
+	}
+	return granted
+}
+
+// Guards against permits above the limit: at the start, after a time without requests,
+// after a pause, for servers whose limit isn't known, and for a part of the hosts; and
+// against a limit of zero that closes a server for good.
+func TestRatesOfPermits(t *testing.T) {
+	const duration = 100 * time.Second
+	for _, test := range []struct {
+		name  string
+		rate  ebonyworks.RequestRate
+		share float64
+		want  float64
+	}{
+		{"named", 5, 1, 500},
+		{"fraction", 0.7, 1, 70},
+		{"part of the hosts", 5, 0.25, 125},
+		{"zero", 0, 1, 20},
+		{"tiny", 1e-300, 1, 20},
+		{"huge", 1e6, 1, 20_000},
+		{"ended", -1, 1, 20_000},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				issuer := &permitissuer.Issuer{Limits: limits{"s": test.rate}, Share: func() float64 { return test.share }}
+				request := ebonyworks.PermitRequest{Groups: []ebonyworks.PermitGroup{group("s")}}
+				assert.InDelta(t, test.want, count(issuer, request, duration), 0.02*test.want+1)
+				if test.rate < 0 || test.rate > 1000 {
+					return
+				}
+				time.Sleep(time.Hour)
+				idle := count(issuer, request, 50*time.Millisecond)
+				assert.LessOrEqual(t, float64(idle), 2+0.6*float64(test.rate), "unused permits aren't kept")
+				time.Sleep(time.Hour)
+				issuer.Reset()
+				assert.Zero(t, count(issuer, request, 10*time.Millisecond), "after a pause")
+				assert.Equal(t, []int{ebonyworks.NoPermit}, issuer.Issue(ebonyworks.PermitRequest{Groups: []ebonyworks.PermitGroup{group("unknown")}}).Granted)
+			})
+		})
+	}
+}
+
+// Guards against permits that are used up for requests that are refused, and against
+// refusals without a time to come back.
+func TestAllNeededOrNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer := &permitissuer.Issuer{Limits: limits{"a": 4, "b": 1, "c": 2}}
+		request := ebonyworks.PermitRequest{Groups: []ebonyworks.PermitGroup{group("a"), group("b"), {Servers: []ebonyworks.ServerID{"c"}, Optional: true}}, Needed: 2}
+		assert.Empty(t, issuer.Issue(request).Granted, "the buckets are empty at first")
+		time.Sleep(600 * time.Millisecond)
+		reply := issuer.Issue(request)
+		assert.Empty(t, reply.Granted, "b has none")
+		assert.InDelta(t, 400*time.Millisecond, reply.RetryAfter, float64(2*time.Millisecond))
+		request.Needed = 1
+		assert.Equal(t, []int{0, ebonyworks.NoPermit, 0}, issuer.Issue(request).Granted, "the refused request took none")
+		time.Sleep(410 * time.Millisecond)
+		request.Needed = 2
+		assert.Equal(t, []int{0, 0, 0}, issuer.Issue(request).Granted)
+		issued, refused := issuer.Counts()
+		assert.EqualValues(t, 5, issued)
+		assert.EqualValues(t, 7, refused)
+	})
+}
+
+// Guards against a replica that is left unused while another one of its shard is used
+// up.
+func TestAllReplicasAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer := &permitissuer.Issuer{Limits: limits{"a": 4, "b": 2, "c": 0.5}}
+		assert.InDelta(t, 65, count(issuer, ebonyworks.PermitRequest{Groups: []ebonyworks.PermitGroup{group("a", "b", "c")}}, 10*time.Second), 4)
+	})
+}
+
+// Guards against less urgent requests that are served more often than more urgent ones,
+// because they need fewer shards, and against starving them.
+func TestUrgentRequestsComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := limits{}
+		urgent := ebonyworks.PermitRequest{Service: "shard", Needed: 10}
+		for i := range 10 {
+			server := ebonyworks.ServerID(fmt.Sprint(i))
+			known[server] = 5 + ebonyworks.RequestRate(i%3)
+			urgent.Groups = append(urgent.Groups, group(server))
+		}
+		other := urgent
+		other.Priority, other.Needed = 1, 4
+		issuer := &permitissuer.Issuer{Limits: known}
+		var served, sent [2]int
+		for i := range 4000 {
+			time.Sleep(20 * time.Millisecond)
+			request := urgent
+			if i%2 == 0 {
+				request = other
+			}
+			sent[request.Priority]++
+			if len(issuer.Issue(request).Granted) > 0 {
+				served[request.Priority]++
+			}
+		}
+		t.Log(served, sent)
+		assert.GreaterOrEqual(t, served[0], served[1]*9/10)
+		assert.Greater(t, served[1], served[0]/4)
+	})
+}
--- a/coordination/permits/permits.go
+++ b/coordination/permits/permits.go
@@ -136,7 +136,7 @@
 	for _, limit := range request.Limits {
 		c.Limits.MergeRateLimit(limit)
 	}
-	if !c.Ready() || c.issuer().ID != c.Self.ID {
+	if !c.Issues() {
 		// Two hosts that issue permits at a time would exceed the limits.
 		return ebonyworks.PermitReply{Declined: true}
 	}
@@ -180,6 +180,9 @@
 	c.suggested = true
 }
 
+// Issues reports whether this host issues the permits.
+func (c *Client) Issues() bool { return c.Ready() && c.issuer().ID == c.Self.ID }
+
 // Reset forgets what the issuer knows, and the unused permits. It is called after a
 // pause of the process.
 func (c *Client) Reset() {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,7 +14,7 @@
 // RegisterMetrics creates the instruments for the state of the host. It must be called
 // only once.
 func (g *Gateway) RegisterMetrics(meter metric.Meter) error {
-	var failures [10]error
+	var failures [13]error
 	revision, err := meter.Int64ObservableGauge(instrument.ConfigurationRevision)
 	failures[0] = err
 	ready, err := meter.Int64ObservableGauge(instrument.Ready)
@@ -35,6 +35,12 @@
 	failures[8] = err
 	rateLimited, err := meter.Int64ObservableGauge(instrument.RateLimitedServers)
 	failures[9] = err
+	permitsIssued, err := meter.Int64ObservableCounter(instrument.PermitsIssued)
+	failures[10] = err
+	permitsRefused, err := meter.Int64ObservableCounter(instrument.PermitsRefused)
+	failures[11] = err
+	permitIssuer, err := meter.Int64ObservableGauge(instrument.PermitIssuer)
+	failures[12] = err
 	if err := errors.Join(failures[:]...); err != nil {
 		return errors.Wrap(err, "create the gateway's instruments")
 	}
@@ -55,8 +61,12 @@
 		out.ObserveInt64(withdrawn, int64(draining), stateAttribute("leaving"))
 		out.ObserveInt64(withdrawn, int64(backoff), stateAttribute("backoff"))
 		out.ObserveInt64(rateLimited, int64(g.serverStates.CountRateLimited()))
+		issued, refused := g.permits.Issuer.Counts()
+		out.ObserveInt64(permitsIssued, int64(issued))
+		out.ObserveInt64(permitsRefused, int64(refused))
+		out.ObserveInt64(permitIssuer, instrument.BoolValue(g.permits.Issues()))
 		return nil
-	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls, withdrawn, rateLimited)
+	}, revision, ready, hosts, quarantined, opened, storeAge, storeRead, storeCalls, withdrawn, rateLimited, permitsIssued, permitsRefused, permitIssuer)
 	if err != nil {
 		return errors.Wrap(err, "register the gateway's metrics")
 	}
--- a/protocol/peerproto/peerproto_test.go
+++ b/protocol/peerproto/peerproto_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"crypto/sha256"
 	"encoding/hex"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -63,6 +64,7 @@
 		Crashes: []ebonyworks.CrashReport{
 			{Fingerprint: 1 << 63, Server: "s", Incarnation: 4, Age: 3 * time.Second, Cleared: true},
 		},
+		RateLimitsKnown: true,
 	}
 	bytes, err := proto.Marshal(peerproto.EncodeGossipMessage(message))
 	require.NoError(t, err)
@@ -169,3 +171,38 @@
 		}
 	})
 }
+
+// Guards against fields of requests for permits that are lost, and against hostile
+// limits of another host.
+func TestPermitsRoundTrip(t *testing.T) {
+	limits := []ebonyworks.RateLimit{
+		{Server: "s", Incarnation: 9, Limited: true, Rate: 4.5, Age: 1500 * time.Millisecond},
+		{Server: "t", Incarnation: 1, Age: time.Second},
+	}
+	request := ebonyworks.PermitRequest{
+		Service: "shard", Priority: -2, Needed: 3, Known: true, KnownAge: 20 * time.Millisecond, Limits: limits,
+		Groups: []ebonyworks.PermitGroup{{Servers: []ebonyworks.ServerID{"s", "t"}, Optional: true}, {Servers: []ebonyworks.ServerID{"u"}}},
+	}
+	decoded, err := peerproto.DecodePermitRequest(peerproto.EncodePermitRequest(request))
+	require.NoError(t, err)
+	assert.Equal(t, request, decoded)
+	reply := ebonyworks.PermitReply{Granted: []int{ebonyworks.NoPermit, 0, 2}, RetryAfter: 250 * time.Millisecond, Limits: limits}
+	assert.Equal(t, reply, peerproto.DecodePermitReply(peerproto.EncodePermitReply(reply)))
+	assert.True(t, peerproto.DecodePermitReply(peerproto.EncodePermitReply(ebonyworks.PermitReply{Declined: true})).Declined)
+	forward, accepted := peerproto.DecodeForwardReply(peerproto.EncodeForwardReply(&ebonyworks.ForwardReply{RateLimits: limits}, true))
+	assert.True(t, accepted)
+	assert.Equal(t, limits, forward.RateLimits)
+
+	wire := peerproto.EncodePermitRequest(request)
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
+		wire.Limits = append(wire.Limits, &peerv1.RateLimit{Server: "s", Limited: true, RequestsPerSecond: rate})
+	}
+	wire.Limits = append(wire.Limits, &peerv1.RateLimit{})
+	decoded, err = peerproto.DecodePermitRequest(wire)
+	require.NoError(t, err)
+	assert.Equal(t, limits, decoded.Limits)
+	for _, groups := range [][]*peerv1.PermitGroup{{{}}, {{Servers: []string{""}}}, make([]*peerv1.PermitGroup, 5000)} {
+		_, err = peerproto.DecodePermitRequest(&peerv1.TakePermitsRequest{Groups: groups})
+		assert.Error(t, err)
+	}
+}
--- a/telemetry/instrument/instrument.go
+++ b/telemetry/instrument/instrument.go
@@ -52,6 +52,9 @@
 	StoreCalls              = "ebonyworks.store.calls"
 	WithdrawnServers        = "ebonyworks.servers.withdrawn"
 	RateLimitedServers      = "ebonyworks.servers.rate_limited"
+	PermitsIssued           = "ebonyworks.permits.issued"
+	PermitsRefused          = "ebonyworks.permits.refused"
+	PermitIssuer            = "ebonyworks.permits.issuer"
 	RateLimitedAttempts     = "ebonyworks.attempts.rate_limited"
 )
 
@@ -95,6 +98,9 @@
 		{Name: WithdrawnServers, Kind: Gauge, Labels: []string{"state"}},
 		{Name: RateLimitedServers, Kind: Gauge},
 		{Name: RateLimitedAttempts, Kind: Counter, Labels: []string{"kind", "service"}},
+		{Name: PermitsIssued, Kind: Counter},
+		{Name: PermitsRefused, Kind: Counter},
+		{Name: PermitIssuer, Kind: Gauge},
 	}
 }
 
