Test that a rate limit in the header reaches the decisions of a gateway

Cause: the parsing and the decisions were tested apart; and a test of the fan-out set a field while its requests ran. Change: TestHeaderLimitsRequests over TCP, with a request for permits of another host. TestQueuedAttemptsNeedPermits sets its stub before the requests. Measurement: both pass with -race; the latter failed with it before.

--- a/coordination/fanout/permits_test.go
+++ b/coordination/fanout/permits_test.go
@@ -44,17 +44,21 @@
 	return reply, nil
 }
 
-// limitServers makes the servers rate-limited on the host of the testbed, whose
-// permits the stub issues.
+// limitServers lets a stub issue permits, and makes the servers rate-limited.
 func (b *testbed) limitServers(ids ...ebonyworks.ServerID) *permitStub {
 	stub := &permitStub{permits: make(map[ebonyworks.ServerID]int)}
 	b.Permits = stub
+	b.nameLimits(ids)
+	return stub
+}
+
+// nameLimits makes the servers rate-limited on the host of the testbed.
+func (b *testbed) nameLimits(ids []ebonyworks.ServerID) {
 	for _, id := range ids {
 		b.ServerStates.Observe(ebonyworks.AttemptRecord{Server: id, Result: ebonyworks.AttemptServed, Latency: workTime, Report: ebonyworks.ServerReport{
 			RateLimit: ebonyworks.RateLimitReport{Stated: true, Limited: true, Rate: 5},
 		}})
 	}
-	return stub
 }
 
 // replicas returns the servers of the first shards.
@@ -155,7 +159,7 @@
 // named a limit meanwhile.
 func TestQueuedAttemptsNeedPermits(t *testing.T) {
 	runInBubble(t, func(t *testing.T, b *testbed) {
-		stub := b.limitServers()
+		b.limitServers()
 		b.setBehavior(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior { return served(10 * workTime) })
 		var requests sync.WaitGroup
 		for i := range 30 {
@@ -165,8 +169,7 @@
 		sent := len(b.arrivalCounts())
 		assert.Equal(t, 2, sent, "both servers are used")
 		before := b.arrivalCounts()
-		b.limitServers(replicas(1, "a", "b")...)
-		b.Permits = stub
+		b.nameLimits(replicas(1, "a", "b"))
 		requests.Wait()
 		assert.Equal(t, before, b.arrivalCounts(), "those that waited were not sent")
 	})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,9 +38,11 @@
 	serviceTime      atomic.Int64
 	// cutAt is the length in bytes to which servers cut their responses; zero means
 	// that they send them whole.
-	cutAt   atomic.Int64
-	stop    context.CancelFunc
-	stopped chan error
+	cutAt atomic.Int64
+	// rateLimit is what servers name; zero means that they name none.
+	rateLimit atomic.Int64
+	stop      context.CancelFunc
+	stopped   chan error
 }
 
 func freeAddress(t *testing.T) netip.AddrPort {
@@ -57,8 +59,12 @@
 	t.Helper()
 	server, err := rawserver.Listen(func(conn net.Conn, _ int, request *http.Request, _ []byte) bool {
 		time.Sleep(time.Duration(s.serviceTime.Load()))
-		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\nContent-Length: 16\r\n\r\n%-16s",
-			request.Header.Get("Request-Id"), "stamp-"+name, name, name)
+		limit := ""
+		if rate := s.rateLimit.Load(); rate > 0 {
+			limit = fmt.Sprintf("Server-Limit: %d\r\n", rate)
+		}
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nX-Server: %s\r\n%sContent-Length: 16\r\n\r\n%-16s",
+			request.Header.Get("Request-Id"), "stamp-"+name, name, limit, name)
 		// A cut response ends with its connection.
 		cut := int(s.cutAt.Load())
 		if cut > 0 {
@@ -315,3 +321,35 @@
 		assert.NotEqual(t, ebonyworks.ReplyMerged, reply.Kind, "delegated, cut after %d bytes", cut)
 	}
 }
+
+// Guards against a rate limit in a server's header that no decision of the gateway
+// reads, and against other hosts that can't get permits.
+func TestHeaderLimitsRequests(t *testing.T) {
+	s := newTestGateway(t)
+	client := &http.Client{}
+	count := func(requests int) (served int) {
+		for i := range requests {
+			got, err := s.send(client, http.MethodPost, fmt.Sprint("/one/", i), nil, nil)
+			require.NoError(t, err)
+			if got.status == http.StatusOK {
+				served++
+				continue
+			}
+			assert.Equal(t, http.StatusServiceUnavailable, got.status)
+			assert.NotEmpty(t, got.header.Get("Retry-After"))
+		}
+		return served
+	}
+	assert.Equal(t, 20, count(20))
+	s.rateLimit.Store(2)
+	assert.Equal(t, 1, count(20), "the first response names the limit")
+	reply, err := peerrpc.NewClient(nil).TakePermits(t.Context(), ebonyworks.Host{ID: "host", Address: s.peerAddress}, ebonyworks.PermitRequest{
+		Service: "x", Groups: []ebonyworks.PermitGroup{{Servers: []ebonyworks.ServerID{"server-x"}}},
+	})
+	require.NoError(t, err)
+	assert.False(t, reply.Declined)
+	assert.Len(t, reply.Limits, 1)
+	s.rateLimit.Store(0)
+	require.Eventually(t, func() bool { return count(1) == 1 }, 3*time.Second, 20*time.Millisecond)
+	assert.Equal(t, 20, count(20), "the response without a limit ended it")
+}
