Let servers name rate limits in the soak

Cause: the soak's servers named no limits, so nothing checked them with real processes that are killed, frozen and cut off.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,6 +90,7 @@
 	links := rand.New(rand.NewPCG(seed, 8))
 	withdrawals := rand.New(rand.NewPCG(seed, 9))
 	readers := rand.New(rand.NewPCG(seed, 10))
+	limits := rand.New(rand.NewPCG(seed, 11))
 	site := newSite(t, binary, seed, *hosts)
 	site.start(t)
 	callers := site.startCallers(t)
@@ -101,6 +102,7 @@
 		site.injectLink(links)
 		site.withdraw(withdrawals)
 		site.injectReaders(readers)
+		site.injectLimits(limits)
 		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
 	}
 	site.heal(t)
--- a/soak/withdrawal_test.go
+++ b/soak/withdrawal_test.go
@@ -52,6 +52,7 @@
 	b.set(func() {
 		b.born++
 		b.leaving, b.backoffUntil, b.told = false, time.Time{}, nil
+		b.limit = rateLimit{}
 	})
 	s.announce(b, "ready")
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -199,8 +199,9 @@
 	leaving      bool
 	backoffUntil time.Time
 	// told are the refusals with a time, by host.
-	told map[int]*backoffNotice
-	site *site
+	told  map[int]*backoffNotice
+	limit rateLimit
+	site  *site
 }
 
 func (b *backend) set(change func()) {
@@ -264,11 +265,13 @@
 		return false
 	case fault == "reset":
 		return false
-	case fault == "shed":
-		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	limit := b.limitHeader(id)
+	if fault == "shed" {
+		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, limit)
 	}
 	if backoff := b.backoff(id); backoff > 0 {
-		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", id, backoff.Seconds())
+		return respond("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\n%sContent-Length: 0\r\n\r\n", id, backoff.Seconds(), limit)
 	}
 	leaving, life := b.checkLeaving(id)
 	if !leftAt.IsZero() && time.Since(leftAt) > drainBound {
@@ -280,9 +283,9 @@
 	b.ledger.ran(id)
 	time.Sleep(delay)
 	content := record(b.service, id, 0) + record(b.service, id, 1)
-	said := ""
+	said := limit
 	if leaving {
-		said = "Server-Leaving: 1\r\n"
+		said += "Server-Leaving: 1\r\n"
 	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s/%s/%s/%d/%t\r\n%sServer-Load: 1,0,2\r\nContent-Length: %d\r\n\r\n", id, b.service, id, b.id, life, leaving, said, len(content))
 	if start, endless := strings.CutPrefix(fault, "endless "); endless {
