Probe failing servers that are rate-limited

A server that failed while it named a limit would not have been used again as long as other servers of its service worked, so the end of its limit would not have been seen. Cause: probes got no permits. Found by asking which test fails if that rule is removed. Change: probes take permits; hedges still get none. Beside it, tests of the share of the hosts that are seen alive, of hosts without requests, and of two limited shards.

--- a/coordination/fanout/permits.go
+++ b/coordination/fanout/permits.go
@@ -94,10 +94,11 @@
 	return reply.Granted
 }
 
-// takePermit takes a permit for an attempt whose server is rate-limited. Attempts that
-// only make an answer faster get none, because other requests need the server.
+// takePermit takes a permit for an attempt whose server is rate-limited. Hedges get none,
+// because other requests need the server. Probes get them, because a failing server is
+// used again only after one.
 func (a *attempt) takePermit() bool {
-	if a.subrequest.run.forwarder.Permits == nil || a.kind == attemptHedge || a.kind == attemptProbe {
+	if a.subrequest.run.forwarder.Permits == nil || a.kind == attemptHedge {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(&a.permitContext, permitTimeout)
--- a/coordination/fanout/permits_test.go
+++ b/coordination/fanout/permits_test.go
@@ -155,6 +155,31 @@
 	})
 }
 
+// Guards against a server that is never used again because it failed while it was
+// rate-limited, and against probes without a permit.
+func TestFailingRateLimitedServerIsProbed(t *testing.T) {
+	runInBubble(t, func(t *testing.T, b *testbed) {
+		b.warmUp()
+		stub := b.limitServers(replicas(1, "a")...)
+		for range 3 {
+			b.ServerStates.Observe(ebonyworks.AttemptRecord{Server: server(0, "a"), Result: ebonyworks.AttemptLost})
+		}
+		send := func(want int, message string) {
+			b.setBehavior(func(ebonyworks.ServerID, *ebonyworks.ForwardRequest) behavior { return served(workTime) })
+			for range 200 {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = b.send("/one/probe")
+			}
+			assert.Equal(t, want, b.arrivalCounts()[server(0, "a")], message)
+		}
+		send(0, "without a permit")
+		stub.permits[server(0, "a")] = 1
+		send(1, "the probe")
+		stub.permits[server(0, "a")] = 10
+		send(10, "the server is used again")
+	})
+}
+
 // Guards against requests that waited in the host's own queue for a server that has
 // named a limit meanwhile.
 func TestQueuedAttemptsNeedPermits(t *testing.T) {
--- a/coordination/fanout/subrequest.go
+++ b/coordination/fanout/subrequest.go
@@ -166,7 +166,7 @@
 	s.start(s.candidates[s.firstIndex], attemptFirst, charge)
 	s.scheduleHedge(now.Add(s.backoff))
 	for i := range s.candidates {
-		if i == s.firstIndex || !s.candidates[i].Probe || s.candidates[i].RateLimited || !s.mayStartAttempt() || !s.allows(s.candidates[i].Server.ID) || !s.hasSpareCapacity(&s.candidates[i]) {
+		if i == s.firstIndex || !s.candidates[i].Probe || !s.mayStartAttempt() || !s.allows(s.candidates[i].Server.ID) || !s.hasSpareCapacity(&s.candidates[i]) {
 			continue
 		}
 		if s.run.forwarder.RetryBudget.Remaining(s.id) <= probeBudgetReserve {
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -124,3 +124,27 @@
 	singleHost.update(1, now)
 	assert.Equal(t, 1, singleHost.Hosts())
 }
+
+// Guards against hosts that issue more than the whole of a limit together, because they
+// are partitioned and each side issues for all, and against a part that is lost for good.
+func TestAliveShare(t *testing.T) {
+	var left, right aliveShare
+	now := time.Now()
+	assert.InDelta(t, 1, left.Share(), 1e-9, "before the first update")
+	left.update(10, now)
+	right.update(10, now)
+	assert.InDelta(t, 1, left.Share(), 1e-9)
+	for range 20 {
+		now = now.Add(time.Second)
+		left.update(7, now)
+		right.update(3, now)
+		assert.InDelta(t, 1, left.Share()+right.Share(), 1e-9, "partitioned")
+	}
+	left.update(12, now)
+	assert.InDelta(t, 1, left.Share(), 1e-9, "healed, and grown")
+	for range 40 {
+		now = now.Add(time.Second)
+		left.update(8, now)
+	}
+	assert.InDelta(t, 1, left.Share(), 1e-9, "the others don't come back")
+}
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -382,9 +382,30 @@
 	}
 }
 
+// Guards against hosts without requests that don't know of the limits, and exceed them
+// once callers come to them.
+func TestIdleHostsLearnOfLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 8
+		f := newLimitFleet(t, hosts)
+		for replica := range limitReplicas {
+			f.name(limitServer(0, replica), 0.5)
+		}
+		f.load("/all/1", 8*time.Second, func() int { return 0 })
+		f.requests.Wait()
+		f.mutex.Lock()
+		f.served = 0
+		f.mutex.Unlock()
+		next := 0
+		f.load("/one/1", time.Second, func() int { next++; return 1 + next%(hosts-1) })
+		f.requests.Wait()
+		assert.LessOrEqual(t, f.served, 6, "the other hosts were told")
+	})
+}
+
 // Guards against limits that are kept by sending far less than the servers take: one
-// host gets all callers, or they are spread evenly. All replicas of one shard are
-// limited, and each answer needs the shard.
+// host gets all callers, or they are spread evenly. All replicas of two shards are
+// limited, and each answer needs both.
 func TestLimitsAreUsed(t *testing.T) {
 	for _, hosts := range []int{1, 8, 40} {
 		for _, uneven := range []bool{false, true} {
@@ -401,6 +422,7 @@
 					const limit, seconds = 5, 20
 					for replica := range limitReplicas {
 						f.name(limitServer(0, replica), limit)
+						f.name(limitServer(1, replica), 1.4*limit)
 					}
 					f.load("/all/1", 5*time.Second, choose)
 					f.requests.Wait()
@@ -411,6 +433,7 @@
 					assert.InDelta(t, limit*limitReplicas*seconds, f.served, 0.1*limit*limitReplicas*seconds)
 					for replica := range limitReplicas {
 						f.name(limitServer(0, replica), 0)
+						f.name(limitServer(1, replica), 0)
 					}
 					f.load("/all/3", 4*time.Second, choose)
 					f.requests.Wait()
