--- a/coordination/permitissuer/permitissuer_test.go
+++ b/coordination/permitissuer/permitissuer_test.go
@@ -137,3 +137,24 @@
 		assert.Greater(t, served[1], served[0]/4)
 	})
 }
+
+// BenchmarkIssue measures a request to 350 shards with three limited replicas each, the
+// size of the design.
+func BenchmarkIssue(b *testing.B) {
+	known := limits{}
+	request := ebonyworks.PermitRequest{Service: "shard", Needed: 340}
+	for i := range 350 {
+		group := ebonyworks.PermitGroup{}
+		for j := range 3 {
+			server := ebonyworks.ServerID(fmt.Sprint("server-", i, "-", j))
+			known[server] = 1e6
+			group.Servers = append(group.Servers, server)
+		}
+		request.Groups = append(request.Groups, group)
+	}
+	issuer := &permitissuer.Issuer{Limits: known}
+	b.ReportAllocs()
+	for b.Loop() {
+		issuer.Issue(request)
+	}
+}
