Remove two conditions that can't be false, and test three that had no test

Cause: of the guards of the rate limits, removed one by one on a scratch copy, five failed no test. Change: two said what holds anyway: a report is never of an earlier incarnation there, and hedges go to servers without a limit only. New tests: a host that starts or leaves issues nothing, the part of silent hosts isn't issued, and a stand-in of a test named a limit for servers that it doesn't know. Measurement: the packages' tests pass.

--- a/coordination/fanout/permits.go
+++ b/coordination/fanout/permits.go
@@ -94,11 +94,11 @@
 	return reply.Granted
 }
 
-// takePermit takes a permit for an attempt whose server is rate-limited. Hedges get none,
-// because other requests need the server. Probes get them, because a failing server is
-// used again only after one.
+// takePermit takes a permit for an attempt without one whose server is rate-limited: a
+// retry, a probe, or an attempt whose server named the limit after it was chosen. Hedges
+// are made only at servers without a limit.
 func (a *attempt) takePermit() bool {
-	if a.subrequest.run.forwarder.Permits == nil || a.kind == attemptHedge {
+	if a.subrequest.run.forwarder.Permits == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(&a.permitContext, permitTimeout)
--- a/coordination/permitissuer/permitissuer_test.go
+++ b/coordination/permitissuer/permitissuer_test.go
@@ -18,7 +18,7 @@
 
 func (l limits) RateLimit(server ebonyworks.ServerID) (ebonyworks.RateLimit, bool) {
 	rate, known := l[server]
-	return ebonyworks.RateLimit{Server: server, Limited: rate >= 0, Rate: max(rate, 0)}, known
+	return ebonyworks.RateLimit{Server: server, Limited: known && rate >= 0, Rate: max(rate, 0)}, known
 }
 
 func group(servers ...ebonyworks.ServerID) ebonyworks.PermitGroup {
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -382,6 +382,64 @@
 	}
 }
 
+// Guards against a host that issues permits before it knows the other hosts, or after it
+// has told them that it is leaving: another host issues them then.
+func TestStartingAndLeavingHostsIssueNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(t, 8)
+		var issuer *limitHost
+		for _, host := range f.hosts {
+			if !host.declines() {
+				assert.Nil(t, issuer, "one host issues")
+				issuer = host
+			}
+		}
+		if !assert.NotNil(t, issuer) {
+			return
+		}
+		issuer.kill()
+		issuer.start()
+		assert.True(t, issuer.declines(), "started")
+		time.Sleep(10 * time.Second)
+		assert.False(t, issuer.declines())
+		issuer.host.Leave(t.Context())
+		assert.True(t, issuer.declines(), "leaving")
+	})
+}
+
+func (h *limitHost) declines() bool {
+	reply, err := h.host.HandleTakePermits(context.Background(), ebonyworks.PermitRequest{})
+	assert.NoError(h.fleet.t, err)
+	return reply.Declined
+}
+
+// Guards against hosts that use the part of a limit of those that are only silent, and
+// may run behind a partition; and against a part that stays unused for good.
+func TestLimitOfSilentHostsIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, limit = 8, 5
+		f := newLimitFleet(t, hosts)
+		for replica := range limitReplicas {
+			f.name(limitServer(0, replica), limit)
+		}
+		for _, host := range f.hosts[hosts/2:] {
+			host.kill()
+		}
+		served := func(duration time.Duration) float64 {
+			f.mutex.Lock()
+			f.served = 0
+			f.mutex.Unlock()
+			f.load("/all/1", duration, func() int { return rand.IntN(hosts / 2) })
+			f.requests.Wait()
+			return float64(f.served) / duration.Seconds()
+		}
+		served(12 * time.Second)
+		assert.InDelta(t, limit*limitReplicas/2, served(12*time.Second), 1.5)
+		served(15 * time.Second)
+		assert.InDelta(t, limit*limitReplicas, served(12*time.Second), 1.5)
+	})
+}
+
 // Guards against hosts without requests that don't know of the limits, and exceed them
 // once callers come to them.
 func TestIdleHostsLearnOfLimits(t *testing.T) {
--- a/state/serverstate/observe.go
+++ b/state/serverstate/observe.go
@@ -45,7 +45,7 @@
 	if report.Draining {
 		known.setAnnounced(now)
 	}
-	if report.Incarnation == known.incarnation && r.applyRateLimit(known, attempt.Server, report.RateLimit, now, now) && r.OnRateLimitChange != nil {
+	if r.applyRateLimit(known, attempt.Server, report.RateLimit, now, now) && r.OnRateLimitChange != nil {
 		r.OnRateLimitChange()
 	}
 	if attempt.Report.Server == "" {
