Test that the issuer learns of a changed limit at once

Cause: no test failed without the exchange on a change. Change: a fleet whose only request names a limit, which the issuer knows 50 ms later. Measurement: TestIssuerLearnsOfChangesAtOnce passes, and fails without the exchange.

--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -407,6 +407,23 @@
 	})
 }
 
+// Guards against a change of a limit that the host that issues permits learns of late.
+func TestIssuerLearnsOfChangesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(t, 8)
+		issuer := slices.IndexFunc(f.hosts, func(host *limitHost) bool { return !host.declines() })
+		for replica := range limitReplicas {
+			f.name(limitServer(0, replica), 5)
+		}
+		f.load("/one/1", 18*time.Millisecond, func() int { return (issuer + 1) % len(f.hosts) })
+		f.requests.Wait()
+		time.Sleep(50 * time.Millisecond)
+		reply, err := f.hosts[issuer].host.HandleTakePermits(t.Context(), ebonyworks.PermitRequest{})
+		assert.NoError(t, err)
+		assert.NotEmpty(t, reply.Limits)
+	})
+}
+
 func (h *limitHost) declines() bool {
 	reply, err := h.host.HandleTakePermits(context.Background(), ebonyworks.PermitRequest{})
 	assert.NoError(h.fleet.t, err)
