Test the wiring of permits in processes, after pauses and for delegated requests

Cause: without PermitPeer in the process, the limits in replies of larger hosts, the reset after a pause, or the answers before the exit, no test failed.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -107,7 +107,6 @@
 	s.record(event.ProcessStarted, event.Attribute("Callers", s.CallerAddress.String()))
 	var endRequests context.CancelCauseFunc
 	s.requests, endRequests = context.WithCancelCause(context.WithoutCancel(ctx))
-	defer endRequests(nil)
 	gatewayCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.Gateway.Run(gatewayCtx)
--- a/soak/ratelimit_test.go
+++ b/soak/ratelimit_test.go
@@ -3,7 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
 )
 
 const (
@@ -75,3 +79,38 @@
 	defer l.mutex.Unlock()
 	l.outcomes[outcome]++
 }
+
+// Guards against processes that can't get permits from the one that issues them: each
+// host is served by the rate-limited servers.
+func TestAllHostsGetPermits(t *testing.T) {
+	site := newSite(t, buildFront(t), 1, 3)
+	for _, b := range site.servers {
+		if b.service == "desk" {
+			b.set(func() { b.limit = rateLimit{perSecond: 6, namedAt: time.Now(), toldAt: make(map[int]time.Time)} })
+		}
+	}
+	site.start(t)
+	served := make([]int, len(site.fronts))
+	client := &http.Client{Timeout: 2 * time.Second}
+	begin := time.Now()
+	for i := 0; time.Since(begin) < 8*time.Second; i++ {
+		host := i % len(site.fronts)
+		before := site.ledger.okCount()
+		site.ask(client, host, fmt.Sprintf("q-%d-%d-0-%d", site.seed, host, i), true)
+		if time.Since(begin) > limitTime {
+			served[host] += site.ledger.okCount() - before
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for host, count := range served {
+		assert.Greater(t, count, 2, "host %d", host)
+	}
+	assert.Empty(t, site.ledger.problems)
+}
+
+// okCount returns the number of requests that were answered 200.
+func (l *ledger) okCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.outcomes["200 OK"]
+}
