Don't hedge responses that arrive together with the quorum

On a busy host, hedges went to servers whose responses were there already. Cause: a hedge that was due at the moment at which most responses arrived saw the quorum, but not yet the responses behind it.

--- a/coordination/fanout/run.go
+++ b/coordination/fanout/run.go
@@ -49,7 +49,11 @@
 	sendDeadline time.Time
 	attempts     []*attempt
 	inFlight     int
-	provenSafe   bool
+	// done counts the subrequests with a response, and quorumAt is when most had one;
+	// zero before.
+	done       int
+	quorumAt   time.Time
+	provenSafe bool
 	// mayHaveRun is set if another host may have run the request, so that all
 	// attempts are charged to the retry budget.
 	mayHaveRun bool
@@ -305,12 +309,17 @@
 // most subrequests are pending, the cause is this host or its network link, and
 // hedges would add load to it.
 func (r *run) hedge(now time.Time) {
-	mostDone := r.mostSubrequestsDone()
+	mostDone := len(r.subrequests) == 1 || !r.quorumAt.IsZero()
+	// Responses that arrive together are handled one after the other: those that haven't
+	// been handled when the quorum is reached aren't late.
+	settled := mostDone && now.Sub(r.quorumAt) >= minRecheck
 	for _, sub := range r.subrequests {
 		switch {
 		case sub.hedgeAt.IsZero() || now.Before(sub.hedgeAt):
-		case mostDone:
+		case settled:
 			sub.hedge(now)
+		case mostDone:
+			sub.hedgeAt = r.quorumAt.Add(minRecheck)
 		default:
 			sub.noHedgeReason = "most shards are late"
 			sub.hedgeAt = now.Add(r.recheckInterval())
@@ -322,19 +331,12 @@
 // hedged is checked again.
 func (r *run) recheckInterval() time.Duration { return max(r.hedgeDelay/recheckDivisor, minRecheck) }
 
-// mostSubrequestsDone reports whether enough subrequests have responded to call
-// the others late.
-func (r *run) mostSubrequestsDone() bool {
-	if len(r.subrequests) == 1 {
-		return true
-	}
-	done := 0
-	for _, sub := range r.subrequests {
-		if sub.done {
-			done++
-		}
+// recordDone records that a subrequest has its response.
+func (r *run) recordDone(now time.Time) {
+	r.done++
+	if r.quorumAt.IsZero() && float64(r.done) >= hedgeQuorum*float64(len(r.subrequests)) {
+		r.quorumAt = now
 	}
-	return float64(done) >= hedgeQuorum*float64(len(r.subrequests))
 }
 
 // decideReply returns the reply as soon as it can be decided.
--- a/coordination/fanout/subrequest.go
+++ b/coordination/fanout/subrequest.go
@@ -244,6 +244,7 @@
 	case attempt.record.Result == ebonyworks.AttemptServed:
 		s.run.markSafe(now)
 		s.done = true
+		s.run.recordDone(now)
 		s.hedgeAt = time.Time{}
 		s.response = attempt.response
 		s.cancelOthers()
