--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -213,6 +213,7 @@
 				case stopping.Load() && err != nil && strings.Contains(err.Error(), "refused"):
 					return
 				default:
+					t.Logf("status %d, %v: %s", got.status, err, got.content)
 					failed.Add(1)
 					return
 				}
