--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -27,6 +27,8 @@
 	method, host, path string
 	body               string
 	deadline           time.Duration
+	// same is set if all requests have the same path.
+	same bool
 
 	number atomic.Int64
 	mutex  sync.Mutex
@@ -68,7 +70,11 @@
 func (c *clients) attempt(to *front, left time.Duration) outcome {
 	id := fmt.Sprintf("%08x%08x", rand.Uint32(), c.number.Add(1))
 	result := outcome{id: id, front: to.name, sent: time.Now()}
-	request, err := http.NewRequest(c.method, "http://"+to.caller()+c.path+id, strings.NewReader(c.body))
+	path := c.path
+	if !c.same {
+		path += id
+	}
+	request, err := http.NewRequest(c.method, "http://"+to.caller()+path, strings.NewReader(c.body))
 	must(err)
 	request.Host = c.host
 	request.Header.Set("Request-Id", id)
@@ -88,3 +94,18 @@
 	record.logf("request %s to %s: status %d stamp %q error %v", id, to.name, result.status, result.stamp, err)
 	return result
 }
+
+// served returns how many of the requests that were sent in the span were served, and
+// how many were sent.
+func (c *clients) served(begin, end time.Time) (served, all int) {
+	for _, last := range c.ends {
+		if last.sent.Before(begin) || last.sent.After(end) {
+			continue
+		}
+		all++
+		if last.status == http.StatusOK && last.stamp != "" {
+			served++
+		}
+	}
+	return served, all
+}
--- a/review/standin/firststart.go
+++ b/review/standin/firststart.go
@@ -28,7 +28,7 @@
 	for i := range count {
 		s := &server{
 			id: fmt.Sprintf("i-%s-%d", service, i), service: service, zone: zones[i%len(zones)],
-			address: fmt.Sprintf("%s.%d:8120", network, 100+i), slots: make(chan struct{}, 4), work: work,
+			address: fmt.Sprintf("%s.%d:8120", network, nextServer()), slots: make(chan struct{}, 4), work: work,
 			body: func(*http.Request, string) []byte { return bytes.Repeat([]byte("b"), 3000) },
 		}
 		s.start(kv)
--- a/review/standin/fronts.go
+++ b/review/standin/fronts.go
@@ -94,6 +94,17 @@
 	record.logf("front %s started", f.name)
 }
 
+// killFronts kills all hosts at the same moment.
+func killFronts() {
+	for _, f := range fronts {
+		must(f.command.Process.Kill())
+	}
+	for _, f := range fronts {
+		_ = f.command.Wait()
+	}
+	record.logf("all fronts killed")
+}
+
 // stopFronts ends all processes that were started, and removes the temporary folder.
 func stopFronts() {
 	frontMutex.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,7 +42,7 @@
 }
 
 func main() {
-	cases := map[string]func(trouble bool) bool{"first-start": firstStart}
+	cases := map[string]func(trouble bool) bool{"first-start": firstStart, "restart": restart, "lost-answers": lostAnswers, "other-writer": otherWriter}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -19,6 +19,8 @@
 	slots                      chan struct{}
 	work                       time.Duration
 	body                       func(request *http.Request, id string) []byte
+	// loses decides, once a request has run, whether its answer is lost with a reset.
+	loses func(s *server, request *http.Request) bool
 
 	mutex    sync.Mutex
 	sequence uint64
@@ -40,7 +42,9 @@
 				"State": s.state, "WarmupLeftMs": 0, "Sequence": s.sequence, "born": s.born,
 			}
 			s.mutex.Unlock()
-			kv.put("servers/"+s.id, entry)
+			if !kv.down.Load() {
+				kv.put("servers/"+s.id, entry)
+			}
 			time.Sleep(heartbeat)
 		}
 	}()
@@ -63,9 +67,21 @@
 	defer func() { <-s.slots }()
 	record.logf("run %s at %s of %s: %s %s", id, s.id, s.service, request.Method, request.RequestURI)
 	time.Sleep(s.work)
+	if s.loses != nil && s.loses(s, request) {
+		record.logf("answer of %s at %s is lost", id, s.id)
+		panic(http.ErrAbortHandler)
+	}
 	body := s.body(request, id)
 	writer.Header().Set("Server-Stamp", fmt.Sprintf("%s.%s", s.id, id))
 	writer.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), cap(s.slots)))
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = writer.Write(body)
 }
+
+var serverCount int
+
+// nextServer returns the last byte of the address of the next server.
+func nextServer() int {
+	serverCount++
+	return 99 + serverCount
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 type store struct {
 	// staleKeyBy and staleRangeBy are the ages of stale reads.
 	staleKeyBy, staleRangeBy time.Duration
+	// down is set while the store answers every call with 503.
+	down atomic.Bool
 
 	mutex   sync.Mutex
 	log     []item
@@ -57,6 +60,20 @@
 	return added.Revision
 }
 
+// expire removes the entries of servers that weren't written for three heartbeats, also
+// while the store is down.
+func (s *store) expire() {
+	for range time.Tick(20 * time.Millisecond) {
+		items, _ := s.state(0)
+		for key, found := range items {
+			if strings.HasPrefix(key, "servers/") && time.Since(found.at) > 3*heartbeat {
+				record.logf("store: entry %s expired", key)
+				s.remove(key)
+			}
+		}
+	}
+}
+
 // state returns the items as of the given age, and the revision.
 func (s *store) state(age time.Duration) (map[string]item, uint64) {
 	s.mutex.Lock()
@@ -80,6 +97,10 @@
 
 func (s *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	time.Sleep(storeLatency)
+	if s.down.Load() {
+		answer(writer, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	query := request.URL.Query()
 	stale := query.Get("StaleOk") == "1"
 	switch request.URL.Path {
@@ -135,6 +156,10 @@
 			}
 		}
 		s.mutex.Unlock()
+		if s.down.Load() {
+			answer(writer, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
 		if len(events) > 0 {
 			answer(writer, http.StatusOK, map[string]any{"events": events, "AsOf": asOf})
 			return
@@ -168,3 +193,15 @@
 	must(err)
 	go func() { _ = http.Serve(listener, handler) }()
 }
+
+// setDown starts or ends an outage. Waiting watches are cut.
+func (s *store) setDown(down bool) {
+	if s.down.Swap(down) == down {
+		return
+	}
+	record.logf("store down: %v", down)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
