--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +52,9 @@
 	file, err := os.Create(os.Args[2])
 	must(err)
 	record.file, record.start = file, time.Now()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { cantRun(fmt.Errorf("ended by signal %v", <-signals)) }()
 	trouble := os.Getenv("TROUBLE") != "0"
 	time.AfterFunc(110*time.Second, func() { cantRun(fmt.Errorf("the case takes too long")) })
 	broken := cases[os.Args[1]](trouble)
