End the drain state that a 421 set when the server registers anew

Seen by callers: none reported; found while searching for the class of the last fault, a mark that one event sets and no later one clears.

Cause: a 421 says that another server has the address. The gateway kept that as a drain state of the server that was meant, so the server got no requests in that incarnation even after the store had its new address. If its entry lapsed and returned in two answers of the store, the mark was gone; in one, it stayed.

Change: a changed or renewed registration of the same incarnation ends a drain state that the server didn't announce itself. An announcement still ends only with the incarnation (serverstate.TestAvailability, unchanged).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -321,18 +321,14 @@
 // Stopping reports whether a planned stop has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
-// registrationChanged passes the incarnation of a registered server on to the server
+// registrationChanged passes the registration of a usable server on to the server
 // states. A server that may not be used is missing from the registry's services. The
 // server states must not repeat that, since only a new incarnation ends a drain state,
 // and the same incarnation may register again.
 func (g *Gateway) registrationChanged(change serverregistry.Change) {
-	if !change.Usable {
-		return
+	if change.Usable {
+		g.serverStates.RecordRegistration(change.Registration.Server.ID, change.Registration.Incarnation)
 	}
-	g.serverStates.MergeDrainState(ebonyworks.DrainState{
-		Server:      change.Registration.Server.ID,
-		Incarnation: change.Registration.Incarnation,
-	})
 }
 
 // pruneState drops the state of routes, services and servers that no longer exist.
--- a/gateway/registration_test.go
+++ b/gateway/registration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,18 +25,29 @@
 	*gateway.Gateway
 	store platformstore.Store
 
+	mutex    sync.Mutex
+	result   ebonyworks.AttemptResult
 	requests int
 }
 
-// Send serves the request.
+// Send answers with the result.
 func (h *registeredHost) Send(context.Context, ebonyworks.Server, *ebonyworks.ForwardRequest, time.Time) ebonyworks.ForwardAttempt {
-	return ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptServed, Response: ebonyworks.ServerResponse{Status: 200, Signature: "signed"}}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return ebonyworks.ForwardAttempt{Result: h.result, Response: ebonyworks.ServerResponse{Status: 200, Signature: "signed"}}
+}
+
+// answer sets the result of the requests from now on.
+func (h *registeredHost) answer(result ebonyworks.AttemptResult) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.result = result
 }
 
 // newRegisteredHost returns a gateway whose store has a configuration and the server's
 // registration.
 func newRegisteredHost() *registeredHost {
-	h := &registeredHost{store: platformstore.Store{Latency: -1}}
+	h := &registeredHost{store: platformstore.Store{Latency: -1}, result: ebonyworks.AttemptServed}
 	h.Gateway = gateway.New(gateway.Options{
 		Self: ebonyworks.Host{ID: "host"}, Store: h.store.Reader("host"), Backend: h, Peer: failingPeer{},
 		RetryBudget: retrybudget.Bound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, DrainTime: 3 * time.Second, Observer: discardObserver{},
@@ -129,3 +141,31 @@
 		})
 	}
 }
+
+// Guards against a server that gets no more requests because another server once
+// answered at its address, although it has registered again since.
+func TestServerReturnsAfterMisdirectedRequest(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		changes []ebonyworks.StoreChange
+	}{
+		{"another address", []ebonyworks.StoreChange{registered(1, "10.0.0.2:80", false)}},
+		{"removed, returned", []ebonyworks.StoreChange{{Removed: registeredServer}, registered(1, "10.0.0.2:80", false)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newRegisteredHost()
+				h.run(t)
+				h.answer(ebonyworks.AttemptDraining)
+				assert.Equal(t, ebonyworks.ReplyRefused, h.forward())
+				h.answer(ebonyworks.AttemptServed)
+				assert.Equal(t, ebonyworks.ReplyRefused, h.forward(), "the address belongs to another server")
+				for _, change := range test.changes {
+					h.store.Add(change)
+				}
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, ebonyworks.ReplyRelayed, h.forward())
+			})
+		})
+	}
+}
--- a/state/serverstate/availability.go
+++ b/state/serverstate/availability.go
@@ -46,6 +46,24 @@
 	known.setAnnounced(now)
 }
 
+// RecordRegistration records that the server was registered anew as ready. In the known
+// incarnation, this ends a drain state that the server didn't announce itself: another
+// server had answered at the address that it was registered with before.
+func (r *Table) RecordRegistration(server ebonyworks.ServerID, incarnation ebonyworks.Incarnation) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known := r.getOrCreate(server)
+	if known == nil || incarnation < known.incarnation {
+		return
+	}
+	now := time.Now()
+	known.confirmedAt = now
+	r.applyDrainState(known, ebonyworks.DrainState{Server: server, Incarnation: incarnation}, now)
+	if known.draining && known.announcedAt.IsZero() {
+		known.draining = false
+	}
+}
+
 // Availability tells whether requests may be sent to the server now.
 func (r *Table) Availability(server ebonyworks.ServerID) ebonyworks.Availability {
 	r.mutex.Lock()
--- a/state/serverstate/record.go
+++ b/state/serverstate/record.go
@@ -11,7 +11,8 @@
 type record struct {
 	// incarnation never decreases; zero means unknown.
 	incarnation ebonyworks.Incarnation
-	// draining is cleared only by a newer incarnation.
+	// draining is cleared by a newer incarnation. If the server didn't announce it
+	// itself, a new registration clears it, too.
 	draining bool
 	// returnedAt is when a newer incarnation cleared draining.
 	returnedAt time.Time
