Apply each answer of the store to the registry as a whole

Seen by callers: none reported; found while searching for what one answer of the store tells twice. Between the removal and the return of an entry in one answer, requests for its service were refused ("no server is known") and connections to its servers could be closed by the cleanup on another goroutine. With all entries of a site in one answer, that lasts for the whole answer.

Cause: the follower applied change after change, and each rebuilt the view that requests read.

Change: Registry.Apply applies a listing or an answer under one lock, rebuilds each view once and returns the difference for each server. An entry that was removed and returned counts as changed (createdRevision), so that a renewed registration is still reported. Of several configurations in one answer, only the newest is put in force.

Test: discovery.TestAnswerIsAppliedAsWhole failed before: the server was out of use in 4 of 8 reported changes. The tests of RemoveUnlisted use Apply now, with the same expectations.

--- a/coordination/discovery/follower.go
+++ b/coordination/discovery/follower.go
@@ -283,28 +283,14 @@
 // apply applies a listing or changes, then advances asOf to their revision.
 func (f *Follower) apply(listing ebonyworks.StoreListing) {
 	f.noteRecovery(listing.SinceRecovery)
-	if listing.Complete {
-		f.reportRegistrations(f.removeUnlisted(listing))
-	}
-	f.applyChanges(listing.Changes)
+	f.acceptNewest(listing.Changes)
+	f.reportRegistrations(f.Registry.Apply(listing, f.keepUnlistedUntil()))
 	if listing.Complete || len(listing.Changes) > 0 {
 		f.notifyChanged()
 	}
 	f.advanceTo(listing.AsOf)
 }
 
-// removeUnlisted removes the servers that aren't in a complete listing, and returns
-// the changes.
-func (f *Follower) removeUnlisted(listing ebonyworks.StoreListing) []serverregistry.Change {
-	listed := make(map[ebonyworks.ServerID]bool, len(listing.Changes))
-	for _, change := range listing.Changes {
-		if change.Registration != nil {
-			listed[change.Registration.Server.ID] = true
-		}
-	}
-	return f.Registry.RemoveUnlisted(listed, listing.AsOf, f.keepUnlistedUntil())
-}
-
 // noteRecovery records how long ago the store became reachable after an outage; zero
 // means that this isn't known.
 func (f *Follower) noteRecovery(ago time.Duration) {
@@ -318,21 +304,18 @@
 	}
 }
 
-func (f *Follower) applyChanges(changes []ebonyworks.StoreChange) {
-	for _, change := range changes {
-		switch {
-		case change.Configuration != nil:
-			f.accept(change.Configuration, change.Revision)
-		case change.Registration != nil:
-			if applied, ok := f.Registry.Put(*change.Registration, change.Revision); ok {
-				f.reportRegistrations([]serverregistry.Change{applied})
-			}
-		case change.Removed != "":
-			if applied, ok := f.Registry.Remove(change.Removed, change.Revision, f.keepUnlistedUntil()); ok {
-				f.reportRegistrations([]serverregistry.Change{applied})
-			}
+// acceptNewest puts the newest of the configurations in force. The older ones among them
+// are outdated already.
+func (f *Follower) acceptNewest(changes []ebonyworks.StoreChange) {
+	var newest *ebonyworks.StoreChange
+	for i, change := range changes {
+		if change.Configuration != nil && (newest == nil || change.Configuration.Revision > newest.Configuration.Revision) {
+			newest = &changes[i]
 		}
 	}
+	if newest != nil {
+		f.accept(newest.Configuration, newest.Revision)
+	}
 }
 
 // accept puts a configuration in force if it is newer than the current one. A host
--- a/coordination/discovery/follower_test.go
+++ b/coordination/discovery/follower_test.go
@@ -46,6 +46,13 @@
 func followSource(t *testing.T, source ebonyworks.StoreReader) *discovery.Follower {
 	t.Helper()
 	follower := &discovery.Follower{Store: source, Registry: &serverregistry.Registry{}}
+	runFollower(t, follower)
+	return follower
+}
+
+// runFollower runs the follower until the test ends.
+func runFollower(t *testing.T, follower *discovery.Follower) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -56,7 +63,6 @@
 		cancel()
 		<-done
 	})
-	return follower
 }
 
 func revision(follower *discovery.Follower) int {
@@ -387,3 +393,36 @@
 		assert.Equal(t, 2, revision(follower))
 	})
 }
+
+// Guards against requests that are refused, and connections that are closed, while an
+// answer of the store is applied that holds the removal and the return of an entry.
+func TestAnswerIsAppliedAsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(1)
+		s.register("a", false)
+		var usableDuringChange []bool
+		registry := &serverregistry.Registry{}
+		follower := &discovery.Follower{Store: &storesource.FailoverReader{Store: s.Reader("host")}, Registry: registry}
+		follower.RegistrationChanged = func(serverregistry.Change) {
+			usableDuringChange = append(usableDuringChange, registry.Servers()["a"])
+		}
+		s.Add(ebonyworks.StoreChange{Removed: "a"})
+		s.register("b", false)
+		s.Add(ebonyworks.StoreChange{Removed: "b"})
+		s.register("a", false)
+		s.SetBehind(4)
+		runFollower(t, follower)
+		time.Sleep(time.Second)
+		// After a change, the follower waits before its next call of the store.
+		s.register("c", false)
+		synctest.Wait()
+		s.Add(ebonyworks.StoreChange{Removed: "a"})
+		s.register("a", false)
+		time.Sleep(3 * time.Second)
+		assert.True(t, usable(follower, "a"))
+		assert.False(t, usable(follower, "b"))
+		assert.NotContains(t, usableDuringChange, false)
+		assert.NotEmpty(t, usableDuringChange)
+	})
+}
--- a/state/serverregistry/serverregistry.go
+++ b/state/serverregistry/serverregistry.go
@@ -40,11 +40,17 @@
 	removalRevisions map[ebonyworks.ServerID]ebonyworks.StoreRevision
 	// compacted is the revision up to which removals may have been discarded.
 	compacted ebonyworks.StoreRevision
+	// outdated are the services whose views differ from their members. It is empty
+	// while the mutex is free.
+	outdated map[ebonyworks.ServiceID]bool
 }
 
+// entry isn't changed once it is inserted.
 type entry struct {
 	registration ebonyworks.Registration
 	revision     ebonyworks.StoreRevision
+	// createdRevision is the revision of the first registration after the last removal.
+	createdRevision ebonyworks.StoreRevision
 	// removed is set if the entry is missing from the store. It is then kept until
 	// keptUntil, since servers register again after an outage.
 	removed   bool
@@ -63,12 +69,77 @@
 	New bool
 }
 
+// Apply applies a listing, or the changes of one answer of the store, as a whole: others
+// see either all or none of its changes. It returns one change for each server that is
+// registered differently afterwards, in the order in which they were first named. A
+// removed server stays in use until keepUntil, unless it is registered again.
+func (r *Registry) Apply(listing ebonyworks.StoreListing, keepUntil time.Time) []Change {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	defer r.rebuildOutdated()
+	// before has the entries of the named servers, or nil for those without one.
+	before := make(map[ebonyworks.ServerID]*entry, len(listing.Changes))
+	named := make([]ebonyworks.ServerID, 0, len(listing.Changes))
+	remember := func(id ebonyworks.ServerID) {
+		if _, found := before[id]; !found {
+			before[id] = r.servers[id]
+			named = append(named, id)
+		}
+	}
+	if listing.Complete {
+		for _, id := range r.unlisted(listing) {
+			remember(id)
+			r.remove(id, listing.AsOf, keepUntil)
+		}
+		r.loaded = true
+		// Servers that were registered and removed before the listing are unknown here.
+		r.compacted = max(r.compacted, listing.AsOf)
+	}
+	for _, change := range listing.Changes {
+		switch {
+		case change.Registration != nil:
+			remember(change.Registration.Server.ID)
+			r.put(*change.Registration, change.Revision)
+		case change.Removed != "":
+			remember(change.Removed)
+			r.remove(change.Removed, change.Revision, keepUntil)
+		}
+	}
+	var changes []Change
+	for _, id := range named {
+		if change, changed := difference(before[id], r.servers[id]); changed {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// difference returns the change from one entry of a server to another one. An entry is
+// nil if the server isn't registered.
+func difference(before, after *entry) (Change, bool) {
+	switch {
+	case before == nil && after == nil:
+		return Change{}, false
+	case after == nil:
+		return Change{Registration: before.registration}, true
+	}
+	fresh := before == nil || after.registration.Incarnation != before.registration.Incarnation
+	changed := fresh || after.createdRevision != before.createdRevision || after.removed != before.removed ||
+		differs(before.registration, after.registration)
+	return Change{Registration: after.registration, Usable: !after.registration.Draining, New: fresh}, changed
+}
+
 // Put applies a registration. It returns false if nothing relevant changed, if the
 // registration is older than the known one or than the server's removal, or if an
 // earlier incarnation of the server wrote it after a later one.
 func (r *Registry) Put(registration ebonyworks.Registration, revision ebonyworks.StoreRevision) (Change, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	defer r.rebuildOutdated()
+	return r.put(registration, revision)
+}
+
+func (r *Registry) put(registration ebonyworks.Registration, revision ebonyworks.StoreRevision) (Change, bool) {
 	if revision <= r.removalRevisions[registration.Server.ID] {
 		return Change{}, false
 	}
@@ -84,15 +155,19 @@
 	}
 	fresh := known == nil || registration.Incarnation > known.registration.Incarnation
 	changed := fresh || known.removed || differs(known.registration, registration)
+	added := &entry{registration: registration, revision: revision, createdRevision: revision}
+	if known != nil && !known.removed {
+		added.createdRevision = known.createdRevision
+	}
 	if known != nil && known.registration.Service != registration.Service {
 		r.drop(registration.Server.ID, known)
 	}
 	delete(r.removalRevisions, registration.Server.ID)
-	r.insert(&entry{registration: registration, revision: revision})
+	r.insert(added)
 	if !changed {
 		return Change{}, false
 	}
-	r.rebuild(registration.Service)
+	r.markOutdated(registration.Service)
 	return Change{Registration: registration, Usable: !registration.Draining, New: fresh}, true
 }
 
@@ -102,6 +177,11 @@
 func (r *Registry) Remove(id ebonyworks.ServerID, revision ebonyworks.StoreRevision, keepUntil time.Time) (Change, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	defer r.rebuildOutdated()
+	return r.remove(id, revision, keepUntil)
+}
+
+func (r *Registry) remove(id ebonyworks.ServerID, revision ebonyworks.StoreRevision, keepUntil time.Time) (Change, bool) {
 	known := r.servers[id]
 	if known == nil {
 		r.recordRemoval(id, revision)
@@ -110,43 +190,41 @@
 	if revision < known.revision || known.removed {
 		return Change{}, false
 	}
-	known.removalRevision = revision
+	removed := *known
+	removed.removalRevision = revision
 	if time.Now().Before(keepUntil) {
-		known.removed = true
-		known.keptUntil = keepUntil
-		return Change{Registration: known.registration, Usable: !known.registration.Draining}, true
+		removed.removed = true
+		removed.keptUntil = keepUntil
+		r.insert(&removed)
+		return Change{Registration: removed.registration, Usable: !removed.registration.Draining}, true
 	}
-	return r.drop(id, known), true
+	return r.drop(id, &removed), true
 }
 
-// RemoveUnlisted removes, as Remove does, the entries that aren't in a listing as of the
-// revision.
-func (r *Registry) RemoveUnlisted(listed map[ebonyworks.ServerID]bool, asOf ebonyworks.StoreRevision, keepUntil time.Time) []Change {
+// unlisted returns the servers that aren't in a complete listing and were registered
+// before it, ordered by id.
+func (r *Registry) unlisted(listing ebonyworks.StoreListing) []ebonyworks.ServerID {
+	listed := make(map[ebonyworks.ServerID]bool, len(listing.Changes))
+	for _, change := range listing.Changes {
+		if change.Registration != nil {
+			listed[change.Registration.Server.ID] = true
+		}
+	}
 	var missing []ebonyworks.ServerID
-	r.mutex.Lock()
 	for id, known := range r.servers {
-		if !listed[id] && known.revision <= asOf {
+		if !listed[id] && known.revision <= listing.AsOf {
 			missing = append(missing, id)
 		}
 	}
-	r.loaded = true
-	// Servers that were registered and removed before the listing are unknown here.
-	r.compacted = max(r.compacted, asOf)
-	r.mutex.Unlock()
 	slices.Sort(missing)
-	var changes []Change
-	for _, id := range missing {
-		if change, ok := r.Remove(id, asOf, keepUntil); ok {
-			changes = append(changes, change)
-		}
-	}
-	return changes
+	return missing
 }
 
 // Expire drops the removed entries that have been kept long enough.
 func (r *Registry) Expire() []Change {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	defer r.rebuildOutdated()
 	now := time.Now()
 	var changes []Change
 	for id, known := range r.servers {
@@ -300,10 +378,27 @@
 	if len(r.members[service]) == 0 {
 		delete(r.members, service)
 	}
-	r.rebuild(service)
+	r.markOutdated(service)
 	return Change{Registration: known.registration}
 }
 
+// markOutdated notes that the view of the service must be rebuilt.
+func (r *Registry) markOutdated(id ebonyworks.ServiceID) {
+	if r.outdated == nil {
+		r.outdated = make(map[ebonyworks.ServiceID]bool)
+	}
+	r.outdated[id] = true
+}
+
+// rebuildOutdated rebuilds the views that don't show the changes since the mutex was
+// locked.
+func (r *Registry) rebuildOutdated() {
+	for id := range r.outdated {
+		r.rebuild(id)
+	}
+	clear(r.outdated)
+}
+
 // rebuild replaces the view of the servers in use of the service.
 func (r *Registry) rebuild(id ebonyworks.ServiceID) {
 	view := &ebonyworks.Service{ID: id, Slots: defaultSlots, ConnectionCap: r.caps[id]}
