Never serve by an old listing at the start

At the start, the listing may be old. It was put in force before the changes since then, which were there already, so for a moment a host could send requests to servers that are gone, or by an older configuration than other hosts.

Change: the first answer is applied together with the listing.

Test: discovery.TestStaleListingIsNeverInForce failed before: both the removed server and the replaced configuration were in force during the first change.

--- a/coordination/discovery/follower.go
+++ b/coordination/discovery/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -161,13 +162,24 @@
 		after = max(after, changes.AsOf)
 		if !applied {
 			applied = true
-			f.apply(listing)
+			changes = merge(listing, changes)
 		}
 		f.apply(changes)
 		f.Expire()
 	}
 }
 
+// merge returns the listing with the later changes. A complete listing replaces it.
+func merge(listing, changes ebonyworks.StoreListing) ebonyworks.StoreListing {
+	if changes.Complete {
+		return changes
+	}
+	changes.Complete = listing.Complete
+	changes.AsOf = max(listing.AsOf, changes.AsOf)
+	changes.Changes = slices.Concat(listing.Changes, changes.Changes)
+	return changes
+}
+
 // AsOf returns the store's revision up to which all changes are applied.
 func (f *Follower) AsOf() ebonyworks.StoreRevision {
 	f.mutex.RLock()
--- a/coordination/discovery/follower_test.go
+++ b/coordination/discovery/follower_test.go
@@ -426,3 +426,29 @@
 		assert.NotEmpty(t, usableDuringChange)
 	})
 }
+
+// Guards against a host that serves by an old listing for a moment after the start: the
+// old configuration, and servers that are gone.
+func TestStaleListingIsNeverInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.configure(3)
+		s.register("a", false)
+		s.configure(4)
+		s.Add(ebonyworks.StoreChange{Removed: "a"})
+		s.register("b", false)
+		s.SetBehind(3)
+		follower := &discovery.Follower{Store: &storesource.FailoverReader{Store: s.Reader("host")}, Registry: &serverregistry.Registry{}}
+		check := func() {
+			assert.False(t, follower.Registry.Servers()["a"], "removed after the listing")
+			assert.NotEqual(t, 3, revision(follower), "replaced after the listing")
+		}
+		follower.RegistrationChanged = func(serverregistry.Change) { check() }
+		follower.Changed = check
+		runFollower(t, follower)
+		time.Sleep(time.Second)
+		assert.True(t, follower.Ready())
+		assert.Equal(t, 4, revision(follower))
+		assert.True(t, usable(follower, "b"))
+	})
+}
