--- a/coordination/discovery/follower_test.go
+++ b/coordination/discovery/follower_test.go
@@ -452,3 +452,42 @@
 		assert.True(t, usable(follower, "b"))
 	})
 }
+
+// completeStore has an old listing, and answers the first watch with the whole content,
+// as a host does that has discarded the changes in between.
+type completeStore struct {
+	old, whole ebonyworks.StoreListing
+}
+
+func (s completeStore) List(context.Context, bool) (ebonyworks.StoreListing, error) {
+	return s.old, nil
+}
+
+func (s completeStore) Watch(ctx context.Context, after ebonyworks.StoreRevision, _ time.Duration) (ebonyworks.StoreListing, error) {
+	if after < s.whole.AsOf {
+		return s.whole, nil
+	}
+	<-ctx.Done()
+	return ebonyworks.StoreListing{}, ctx.Err()
+}
+
+// Guards against servers of an old listing that stay in use although the first answer
+// has the whole content without them.
+func TestWholeContentReplacesOldListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		register := func(id ebonyworks.ServerID, revision ebonyworks.StoreRevision) ebonyworks.StoreChange {
+			return ebonyworks.StoreChange{Revision: revision, Registration: &ebonyworks.Registration{
+				Server: ebonyworks.Server{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:80")}, Service: "s", Slots: 2,
+			}}
+		}
+		configuration := ebonyworks.StoreChange{Revision: 1, Configuration: &ebonyworks.ForwardConfiguration{Revision: 1}}
+		follower := followSource(t, completeStore{
+			old:   ebonyworks.StoreListing{Complete: true, AsOf: 3, Changes: []ebonyworks.StoreChange{configuration, register("a", 2)}},
+			whole: ebonyworks.StoreListing{Complete: true, AsOf: 9, Changes: []ebonyworks.StoreChange{configuration, register("b", 8)}},
+		})
+		time.Sleep(time.Second)
+		assert.True(t, follower.Ready())
+		assert.False(t, usable(follower, "a"))
+		assert.True(t, usable(follower, "b"))
+	})
+}
--- a/gateway/registration_test.go
+++ b/gateway/registration_test.go
@@ -26,28 +26,43 @@
 	store platformstore.Store
 
 	mutex    sync.Mutex
-	result   ebonyworks.AttemptResult
+	attempt  ebonyworks.ForwardAttempt
 	requests int
 }
 
-// Send answers with the result.
+// served is the attempt of a server that runs requests.
+var served = ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptServed, Response: ebonyworks.ServerResponse{Status: 200, Signature: "signed"}}
+
+// Send ends with the attempt.
 func (h *registeredHost) Send(context.Context, ebonyworks.Server, *ebonyworks.ForwardRequest, time.Time) ebonyworks.ForwardAttempt {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return ebonyworks.ForwardAttempt{Result: h.result, Response: ebonyworks.ServerResponse{Status: 200, Signature: "signed"}}
+	return h.attempt
 }
 
-// answer sets the result of the requests from now on.
-func (h *registeredHost) answer(result ebonyworks.AttemptResult) {
+// answer sets how attempts end from now on.
+func (h *registeredHost) answer(attempt ebonyworks.ForwardAttempt) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.result = result
+	h.attempt = attempt
+}
+
+// addInOneAnswer adds changes to the store that the host gets in one answer, and waits
+// until it has them.
+func (h *registeredHost) addInOneAnswer(changes []ebonyworks.StoreChange) {
+	// After a change, the host waits before its next call of the store.
+	h.store.Add(ebonyworks.StoreChange{Removed: "other"})
+	synctest.Wait()
+	for _, change := range changes {
+		h.store.Add(change)
+	}
+	time.Sleep(3 * time.Second)
 }
 
 // newRegisteredHost returns a gateway whose store has a configuration and the server's
 // registration.
 func newRegisteredHost() *registeredHost {
-	h := &registeredHost{store: platformstore.Store{Latency: -1}, result: ebonyworks.AttemptServed}
+	h := &registeredHost{store: platformstore.Store{Latency: -1}, attempt: served}
 	h.Gateway = gateway.New(gateway.Options{
 		Self: ebonyworks.Host{ID: "host"}, Store: h.store.Reader("host"), Backend: h, Peer: failingPeer{},
 		RetryBudget: retrybudget.Bound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, DrainTime: 3 * time.Second, Observer: discardObserver{},
@@ -129,13 +144,7 @@
 				h := newRegisteredHost()
 				h.run(t)
 				assert.Equal(t, ebonyworks.ReplyRelayed, h.forward())
-				// After a change, the host waits before its next call of the store.
-				h.store.Add(registered(1, "10.0.0.1:81", false))
-				synctest.Wait()
-				for _, change := range test.changes {
-					h.store.Add(change)
-				}
-				time.Sleep(3 * time.Second)
+				h.addInOneAnswer(test.changes)
 				assert.Equal(t, want, h.forward())
 			})
 		})
@@ -143,28 +152,38 @@
 }
 
 // Guards against a server that gets no more requests because another server once
-// answered at its address, although it has registered again since.
-func TestServerReturnsAfterMisdirectedRequest(t *testing.T) {
+// answered at its address, although it has registered again since, and against one that
+// gets requests again although it announced that it is draining.
+func TestRegistrationAfterDrainState(t *testing.T) {
+	const address, otherAddress = "10.0.0.1:80", "10.0.0.2:80"
+	removed := ebonyworks.StoreChange{Removed: registeredServer}
 	for _, test := range []struct {
-		name    string
-		changes []ebonyworks.StoreChange
+		name      string
+		announced bool
+		changes   []ebonyworks.StoreChange
+		want      ebonyworks.ReplyKind
 	}{
-		{"another address", []ebonyworks.StoreChange{registered(1, "10.0.0.2:80", false)}},
-		{"removed, returned", []ebonyworks.StoreChange{{Removed: registeredServer}, registered(1, "10.0.0.2:80", false)}},
+		{"misdirected, no change", false, nil, ebonyworks.ReplyRefused},
+		{"misdirected, another address", false, []ebonyworks.StoreChange{registered(1, otherAddress, false)}, ebonyworks.ReplyRelayed},
+		{"misdirected, removed, returned", false, []ebonyworks.StoreChange{removed, registered(1, address, false)}, ebonyworks.ReplyRelayed},
+		{"announced, another address", true, []ebonyworks.StoreChange{registered(1, otherAddress, false)}, ebonyworks.ReplyRefused},
+		{"announced, removed, returned", true, []ebonyworks.StoreChange{removed, registered(1, address, false)}, ebonyworks.ReplyRefused},
+		{"announced, new incarnation", true, []ebonyworks.StoreChange{registered(2, address, false)}, ebonyworks.ReplyRelayed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newRegisteredHost()
 				h.run(t)
-				h.answer(ebonyworks.AttemptDraining)
-				assert.Equal(t, ebonyworks.ReplyRefused, h.forward())
-				h.answer(ebonyworks.AttemptServed)
-				assert.Equal(t, ebonyworks.ReplyRefused, h.forward(), "the address belongs to another server")
-				for _, change := range test.changes {
-					h.store.Add(change)
+				h.answer(ebonyworks.ForwardAttempt{Result: ebonyworks.AttemptDraining})
+				if test.announced {
+					announcing := served
+					announcing.Report = ebonyworks.ServerReport{Server: registeredServer, Draining: true}
+					h.answer(announcing)
 				}
-				time.Sleep(3 * time.Second)
-				assert.Equal(t, ebonyworks.ReplyRelayed, h.forward())
+				h.forward()
+				h.answer(served)
+				h.addInOneAnswer(test.changes)
+				assert.Equal(t, test.want, h.forward())
 			})
 		})
 	}
