Take the memory of large response heads from the budget

Report: a faulty server sent bytes without end, in a head or a body, and the machine that had called it kept them all and ran out of memory.

Two gaps: heads weren't in the budget, so servers that send them slowly could hold 128 KiB for each attempt in flight; and each idle connection kept the buffer of its largest head (16.7 MB on 200 connections).

Change: a head above 4 KiB reserves its memory for the exchange, and fails as out of memory without blame for the server if there is none. Idle connections keep 4 KiB.

Tests: http1.TestLargeHeadsTakeMemoryFromBudget and TestIdleConnectionsKeepNoLargeHeads failed before.

--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/ebonyworks/ebonyworks/state/buffer"
 )
 
 const (
@@ -52,11 +54,13 @@
 	begin, count := 0, 0
 	for {
 		piece, err := c.reader.ReadSlice('\n')
-		c.lines = append(c.lines, piece...)
-		if len(c.lines) > MaxHeadBytes || count > MaxHeadLines {
-			c.lines = nil
+		if len(c.lines)+len(piece) > MaxHeadBytes || count > MaxHeadLines {
 			return "", errHeadTooLarge
 		}
+		if len(c.lines)+len(piece) > readBufferBytes && !c.reserveHead() {
+			return "", buffer.ErrNoMemory
+		}
+		c.lines = append(c.lines, piece...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -71,6 +75,27 @@
 	}
 }
 
+// reserveHead reserves the memory of a large head for the rest of the exchange: that of
+// the lines, which are copied once. It returns false if the budget is exhausted.
+func (c *connection) reserveHead() bool {
+	if c.budget == nil || c.headReserved {
+		return true
+	}
+	c.headReserved = c.budget.Take(2 * MaxHeadBytes)
+	return c.headReserved
+}
+
+// releaseHead frees the memory of a large head. The connection may be kept.
+func (c *connection) releaseHead() {
+	if c.headReserved {
+		c.budget.Return(2 * MaxHeadBytes)
+		c.headReserved = false
+	}
+	if cap(c.lines) > readBufferBytes {
+		c.lines = nil
+	}
+}
+
 // parseHead parses the lines of a head.
 func parseHead(raw string) (head, error) {
 	first, rest, _ := strings.Cut(raw, "\n")
--- a/transport/http1/http1.go
+++ b/transport/http1/http1.go
@@ -81,6 +81,7 @@
 	}
 	stop := context.AfterFunc(ctx, conn.discard)
 	response, keep, err := conn.run(request)
+	conn.releaseHead()
 	if !stop() || !keep {
 		conn.discard()
 		return response, err
@@ -166,7 +167,7 @@
 func (c *connection) read(request *Request) (*Response, bool, error) {
 	parsed, err := c.readHead()
 	if err != nil {
-		return nil, false, &RequestError{Invalid: isInvalidHead(err), cause: err}
+		return nil, false, &RequestError{Invalid: isInvalidHead(err), NoMemory: errors.Is(err, buffer.ErrNoMemory), cause: err}
 	}
 	limit := request.MaxBody
 	if limit <= 0 {
--- a/transport/http1/http1_test.go
+++ b/transport/http1/http1_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,6 +143,75 @@
 	assert.Less(t, <-peak, before.HeapAlloc+64<<20)
 }
 
+// heapGrowth returns by how many bytes the heap in use has grown after the function.
+func heapGrowth(during func()) int64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	during()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
+
+// largeHead is a head that is just below the bound.
+var largeHead = plainHead + strings.Repeat("A: "+strings.Repeat("b", 500)+"\r\n", http1.MaxHeadBytes/512)
+
+// Guards against heads that many servers send without end, too slowly to reach the
+// bound, and that the host keeps beyond its memory budget.
+func TestLargeHeadsTakeMemoryFromBudget(t *testing.T) {
+	const servers = 300
+	release := make(chan struct{})
+	server, err := rawserver.Listen(func(conn net.Conn, _ int, _ *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(conn, largeHead)
+		<-release
+		return false
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	budget := &memorybudget.Budget{Limit: 8 << 20}
+	pool := &http1.Pool{Budget: budget}
+	var noMemory atomic.Int64
+	var calls sync.WaitGroup
+	growth := heapGrowth(func() {
+		for range servers {
+			calls.Go(func() {
+				_, err := get(pool, server.Address(), 0)
+				var failure *http1.RequestError
+				if errors.As(err, &failure) && failure.NoMemory {
+					noMemory.Add(1)
+				}
+			})
+		}
+		require.Eventually(t, func() bool { return noMemory.Load() >= servers-64 }, 5*time.Second, 5*time.Millisecond)
+	})
+	close(release)
+	calls.Wait()
+	assert.Less(t, growth, int64(16<<20))
+	assert.Zero(t, budget.Used())
+}
+
+// Guards against idle connections that keep the memory of the largest head that was
+// read on them.
+func TestIdleConnectionsKeepNoLargeHeads(t *testing.T) {
+	const addresses = 200
+	address := make([]netip.AddrPort, addresses)
+	for i := range address {
+		address[i] = serve(t, func(_ net.Conn, writer *bufio.Writer) {
+			_, _ = writer.WriteString(largeHead + "Content-Length: 0\r\n\r\n")
+		})
+	}
+	pool := &http1.Pool{Budget: &memorybudget.Budget{Limit: 8 << 20}}
+	growth := heapGrowth(func() {
+		for _, to := range address {
+			_, err := get(pool, to, 0)
+			require.NoError(t, err)
+		}
+	})
+	assert.Less(t, growth, int64(8<<20))
+	runtime.KeepAlive(pool)
+}
+
 // Guards against a server that sends one byte at a time and thereby delays the
 // response beyond the deadline.
 func TestSlowResponseEndsAtDeadline(t *testing.T) {
--- a/transport/http1/pool.go
+++ b/transport/http1/pool.go
@@ -57,8 +57,11 @@
 	reader *bufio.Reader
 	// budget may be nil.
 	budget ebonyworks.MemoryBudget
-	// lines is a reused buffer for heads of at most MaxHeadBytes.
+	// lines is a reused buffer for heads of at most MaxHeadBytes. Between exchanges, its
+	// capacity is at most readBufferBytes.
 	lines []byte
+	// headReserved is set while a large head has its memory in the budget.
+	headReserved bool
 	// idleTimeout is how long the peer keeps an idle connection open.
 	idleTimeout time.Duration
 	// idleSince is when the last exchange ended.
