Test that bytes without end leave other callers served

gateway.TestEndlessBytesLeaveOthersServed: eight places where a server's bytes don't end (head, body in each framing, trailer, interim response), for a relayed request, a part of a merged answer and a delegated request. The gateway sends no health checks; those of ebonyd, over HTTP/2, are in backendclient.TestEndlessReplies (passes before, too).

soak.TestEndlessBytesLeaveMemory read the peak from the resource usage of the ended child, which includes the memory of the test process at the fork, so it failed after TestSoak.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"github.com/ebonyworks/ebonyworks/gateway"
 	"github.com/ebonyworks/ebonyworks/platform"
 	"github.com/ebonyworks/ebonyworks/standin/rawserver"
+	"github.com/ebonyworks/ebonyworks/state/memorybudget"
 	"github.com/ebonyworks/ebonyworks/transport/peerrpc"
 )
 
@@ -41,8 +43,11 @@
 	cutAt atomic.Int64
 	// rateLimit is what servers name; zero means that they name none.
 	rateLimit atomic.Int64
-	stop      context.CancelFunc
-	stopped   chan error
+	// endless has by target what a server sends, and then junk until the connection
+	// is closed. It isn't changed while requests are sent.
+	endless map[string]string
+	stop    context.CancelFunc
+	stopped chan error
 }
 
 func freeAddress(t *testing.T) netip.AddrPort {
@@ -53,12 +58,22 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// junk is what an endless response repeats.
+var junk = strings.Repeat("0123456789abcdef", 2<<10)
+
 // serveRecord starts a server that answers each request after the service time with
 // a record that begins with the name.
 func (s *testGateway) serveRecord(t *testing.T, name string) netip.AddrPort {
 	t.Helper()
 	server, err := rawserver.Listen(func(conn net.Conn, _ int, request *http.Request, _ []byte) bool {
 		time.Sleep(time.Duration(s.serviceTime.Load()))
+		if start, found := s.endless[request.RequestURI]; found && name == "x" {
+			_, err := io.WriteString(conn, strings.ReplaceAll(start, "ID", request.Header.Get("Request-Id")))
+			for err == nil {
+				_, err = io.WriteString(conn, junk)
+			}
+			return false
+		}
 		limit := ""
 		if rate := s.rateLimit.Load(); rate > 0 {
 			limit = fmt.Sprintf("Server-Limit: %d\r\n", rate)
@@ -99,7 +114,7 @@
 	}
 	peers := freeAddress(t)
 	s.peerAddress = peers
-	backend := &platform.BackendClient{}
+	backend := platform.NewBackendClient(&memorybudget.Budget{Limit: 16 << 20})
 	s.host = gateway.New(gateway.Options{
 		Self: ebonyworks.Host{ID: "host", Address: peers}, Store: fixedStore{listing}, Backend: backend, Connections: backend, Peer: peerrpc.NewClient(nil),
 		RetryBudget: retrybudget.Bound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, Observer: discardObserver{},
@@ -323,6 +338,72 @@
 	}
 }
 
+// Guards against a server that sends bytes without end and so fills the memory of the
+// host, or takes the requests of other callers with it: for a request to one server, a
+// part of a merged response, and a request that another host delegated.
+func TestEndlessBytesLeaveOthersServed(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+	starts := map[string]string{
+		"nothing":          "",
+		"status-line":      "HTTP/1.1 200 ",
+		"header":           "HTTP/1.1 200 OK\r\nRequest-Id: ",
+		"body-by-length":   signed + "Content-Length: 9223372036854775807\r\n\r\n",
+		"body-by-close":    signed + "\r\n",
+		"chunk":            signed + "Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n",
+		"trailer":          signed + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+		"interim-response": "HTTP/1.1 103 Early Hints\r\nA: ",
+	}
+	s := newTestGateway(t)
+	s.endless = make(map[string]string)
+	for name, start := range starts {
+		for _, route := range []string{"/one/", "/all/", "/all/delegated-"} {
+			s.endless[route+name] = start
+		}
+	}
+	var peak atomic.Uint64
+	done := make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() {
+		client := &http.Client{}
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			got, err := s.send(client, http.MethodPost, "/slow/1", nil, nil)
+			assert.NoError(t, err)
+			assert.Equal(t, http.StatusOK, got.status)
+			var memory runtime.MemStats
+			runtime.ReadMemStats(&memory)
+			peak.Store(max(peak.Load(), memory.HeapAlloc))
+		}
+	})
+	delegating := peerrpc.NewClient(nil)
+	var callers sync.WaitGroup
+	for name := range starts {
+		for _, route := range []string{"/one/", "/all/"} {
+			callers.Go(func() {
+				got, err := s.send(&http.Client{}, http.MethodPost, route+name, nil, nil)
+				assert.NoError(t, err)
+				assert.GreaterOrEqual(t, got.status, http.StatusInternalServerError, "%s%s", route, name)
+			})
+		}
+		callers.Go(func() {
+			request := &ebonyworks.ForwardRequest{ID: ebonyworks.RequestID(name), Method: http.MethodGet, Host: "h.example", Target: "/all/delegated-" + name, CallerTimeout: time.Second, Arrival: time.Now()}
+			reply, _ := delegating.Forward(t.Context(), ebonyworks.Host{ID: "host", Address: s.peerAddress}, request, ebonyworks.Delegation{Revision: 1, Fallbacks: []ebonyworks.ServerHash{1, 2}})
+			assert.NotEqual(t, ebonyworks.ReplyMerged, reply.Kind, "delegated, %s", name)
+		})
+	}
+	callers.Wait()
+	close(done)
+	others.Wait()
+	assert.Less(t, peak.Load(), uint64(128<<20))
+	got, err := s.send(&http.Client{}, http.MethodGet, "/slow/1", nil, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, got.status)
+}
+
 // Guards against a rate limit in a server's header that no decision of the gateway
 // reads, and against other hosts that can't get permits.
 func TestHeaderLimitsRequests(t *testing.T) {
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
-	"syscall"
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nContent-Length: 9223372036854775807\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffff\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
 		"",
 	}
 	for i, server := range site.servers {
@@ -43,10 +46,23 @@
 	callers.stop()
 	site.check(t, settled)
 	for _, f := range site.fronts {
+		peak := peakMemory(t, f.command.Process.Pid)
 		f.kill()
-		used, ok := f.command.ProcessState.SysUsage().(*syscall.Rusage)
-		require.True(t, ok)
-		assert.Less(t, used.Maxrss, int64(memoryMb<<10), "kilobytes at the peak")
-		t.Logf("%d MB at the peak", used.Maxrss>>10)
+		assert.Less(t, peak, int64(memoryMb<<10), "kilobytes at the peak")
+		t.Logf("%d MB at the peak", peak>>10)
 	}
 }
+
+// peakMemory returns the peak of a running process's resident memory in kilobytes. The
+// resource usage of an ended child includes the memory of this process at the fork.
+func peakMemory(t *testing.T, pid int) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	_, after, found := strings.Cut(string(status), "\nVmHWM:")
+	require.True(t, found)
+	var peak int64
+	_, err = fmt.Sscanf(after, "%d kB", &peak)
+	require.NoError(t, err)
+	return peak
+}
--- a/transport/backendclient/client_test.go
+++ b/transport/backendclient/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -269,3 +270,42 @@
 	}
 	assert.Equal(t, 3, served)
 }
+
+// Guards against a server that sends a status, a response or a header without end and
+// so fills the memory of the host.
+func TestEndlessReplies(t *testing.T) {
+	junk := []byte(strings.Repeat("x", 32<<10))
+	for name, answer := range map[string]http.HandlerFunc{
+		"body": func(w http.ResponseWriter, _ *http.Request) {
+			for {
+				if _, err := w.Write(junk); err != nil {
+					return
+				}
+			}
+		},
+		"header": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("A", string(junk)) },
+		"trailer": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(http.TrailerPrefix+"A", string(junk))
+			_, _ = w.Write(junk[:1])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			protocols := new(http.Protocols)
+			protocols.SetUnencryptedHTTP2(true)
+			server := &http.Server{Protocols: protocols, Handler: answer}
+			go func() { _ = server.Serve(listener) }()
+			t.Cleanup(func() { _ = server.Close() })
+			client := backendclient.NewClient(backendclient.Options{})
+			t.Cleanup(client.Close)
+			to := ebonyworks.Server{ID: "a", Address: netip.MustParseAddrPort(listener.Addr().String())}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, result := client.Status(ctx, service, to)
+			assert.NotEqual(t, ebonyworks.AttemptServed, result)
+			assert.NotEqual(t, ebonyworks.AttemptServed, client.Search(ctx, service, to, search).Result)
+			assert.NoError(t, ctx.Err(), "it ends before its deadline")
+		})
+	}
+}
