Don't take a lapsed entry whose server is kept for a registration

Found while reading the diff; no caller was hit.

Change: the registry says of each change whether the entry is missing.

Test: gateway.TestKeptServerStaysMisdirected failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -326,7 +326,7 @@
 // server states must not repeat that, since only a new incarnation ends a drain state,
 // and the same incarnation may register again.
 func (g *Gateway) registrationChanged(change serverregistry.Change) {
-	if change.Usable {
+	if change.Usable && !change.Removed {
 		g.serverStates.RecordRegistration(change.Registration.Server.ID, change.Registration.Incarnation)
 	}
 }
--- a/gateway/grouping_test.go
+++ b/gateway/grouping_test.go
@@ -128,3 +128,30 @@
 		assert.Len(t, (candidateSource{g}).Candidates(g.registry.Service("service"), false), 1)
 	})
 }
+
+// Guards against requests to the address of another server: an entry that lapses is no
+// registration, although its server may be kept in use.
+func TestKeptServerStaysMisdirected(t *testing.T) {
+	g := New(Options{Self: ebonyworks.Host{ID: "host"}})
+	registration := &ebonyworks.Registration{
+		Server:  ebonyworks.Server{ID: "server", Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		Service: "service", Slots: 2, Incarnation: 1,
+	}
+	apply := func(change ebonyworks.StoreChange) {
+		for _, change := range g.registry.Apply(ebonyworks.StoreListing{Changes: []ebonyworks.StoreChange{change}}, time.Now().Add(time.Minute)) {
+			g.registrationChanged(change)
+		}
+		g.pruneState()
+	}
+	candidates := func() int {
+		return len((candidateSource{g}).Candidates(g.registry.Service("service"), false))
+	}
+	apply(ebonyworks.StoreChange{Revision: 1, Registration: registration})
+	assert.Equal(t, 1, candidates())
+	g.serverStates.Observe(ebonyworks.AttemptRecord{Server: "server", Result: ebonyworks.AttemptDraining})
+	assert.Zero(t, candidates())
+	apply(ebonyworks.StoreChange{Revision: 2, Removed: "server"})
+	assert.Zero(t, candidates())
+	apply(ebonyworks.StoreChange{Revision: 3, Registration: registration})
+	assert.Equal(t, 1, candidates())
+}
--- a/state/serverregistry/serverregistry.go
+++ b/state/serverregistry/serverregistry.go
@@ -67,6 +67,9 @@
 	Usable bool
 	// New is set if the server or its incarnation had no entry.
 	New bool
+	// Removed is set if the entry is missing from the store. The server may be kept in
+	// use.
+	Removed bool
 }
 
 // Apply applies a listing, or the changes of one answer of the store, as a whole: others
@@ -121,12 +124,12 @@
 	case before == nil && after == nil:
 		return Change{}, false
 	case after == nil:
-		return Change{Registration: before.registration}, true
+		return Change{Registration: before.registration, Removed: true}, true
 	}
 	fresh := before == nil || after.registration.Incarnation != before.registration.Incarnation
 	changed := fresh || after.createdRevision != before.createdRevision || after.removed != before.removed ||
 		differs(before.registration, after.registration)
-	return Change{Registration: after.registration, Usable: !after.registration.Draining, New: fresh}, changed
+	return Change{Registration: after.registration, Usable: !after.registration.Draining, New: fresh, Removed: after.removed}, changed
 }
 
 // Put applies a registration. It returns false if nothing relevant changed, if the
@@ -196,7 +199,7 @@
 		removed.removed = true
 		removed.keptUntil = keepUntil
 		r.insert(&removed)
-		return Change{Registration: removed.registration, Usable: !removed.registration.Draining}, true
+		return Change{Registration: removed.registration, Usable: !removed.registration.Draining, Removed: true}, true
 	}
 	return r.drop(id, &removed), true
 }
@@ -379,7 +382,7 @@
 		delete(r.members, service)
 	}
 	r.markOutdated(service)
-	return Change{Registration: known.registration}
+	return Change{Registration: known.registration, Removed: true}
 }
 
 // markOutdated notes that the view of the service must be rebuilt.
