--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -69,6 +70,48 @@
 	woken   chan struct{}
 	// fault is "", busy, reset or silent.
 	fault string
+	// old is what reads return that may be old; nil if they are current.
+	old *content
+}
+
+// content is what the store holds at a revision.
+type content struct {
+	revision int
+	items    map[string]string
+}
+
+// holdOldReads makes the reads that may be old return the content as of now, until
+// endOldReads is called.
+func (s *store) holdOldReads() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.old = &content{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// endOldReads makes all reads current.
+func (s *store) endOldReads() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.old = nil
+}
+
+// contentFor returns what the request reads.
+func (s *store) contentFor(r *http.Request) content {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.old != nil && r.URL.Query().Get("StaleOk") == "1" {
+		return *s.old
+	}
+	return content{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// remove removes the key.
+func (s *store) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.add(fmt.Sprintf(`{"Key":%q,"Revision":%d,"Tombstone":true}`, key, s.revision))
 }
 
 func newStore() *store {
@@ -113,26 +156,23 @@
 	query := r.URL.Query()
 	switch r.URL.Path {
 	case "/ebonyworks/kv-key":
-		s.mutex.Lock()
-		item, ok := s.items[query.Get("Key")]
-		revision := s.revision
-		s.mutex.Unlock()
+		read := s.contentFor(r)
+		item, ok := read.items[query.Get("Key")]
 		if !ok {
 			w.WriteHeader(http.StatusNotFound)
+			_, _ = fmt.Fprintf(w, `{"AsOf":%d}`, read.revision)
 			return
 		}
-		_, _ = io.WriteString(w, strings.TrimSuffix(item, "}")+fmt.Sprintf(`,"AsOf":%d}`, revision))
+		_, _ = io.WriteString(w, strings.TrimSuffix(item, "}")+fmt.Sprintf(`,"AsOf":%d}`, read.revision))
 	case "/ebonyworks/kv-range":
-		s.mutex.Lock()
+		read := s.contentFor(r)
 		var items []string
-		for key, item := range s.items {
+		for key, item := range read.items {
 			if strings.HasPrefix(key, query.Get("Prefix")) {
 				items = append(items, item)
 			}
 		}
-		revision := s.revision
-		s.mutex.Unlock()
-		_, _ = fmt.Fprintf(w, `{"items":[%s],"HasMore":false,"AsOf":%d}`, strings.Join(items, ","), revision)
+		_, _ = fmt.Fprintf(w, `{"items":[%s],"HasMore":false,"AsOf":%d}`, strings.Join(items, ","), read.revision)
 	case "/ebonyworks/kv-watch":
 		s.watch(w, r)
 	}
