Leave room in the memory budget while responses don't end

Report: bytes without end made the requests of other clients on the machine that had called the server end, too. Found here by gateway.TestEndlessBytesLeaveOthersServed under load: requests to another, sound server got 502, "service y failed: canceled" (up to 3 in one run).

Cause: the budget is shared by all responses that are being read. A few endless ones, each up to 32 MiB, take all of it until they are cut, and then no other response gets its first 16 KiB. The attempt ends as canceled for lack of memory, which for a request that must not repeat is a 502.

Change: buffers above 64 KiB and large heads can use three quarters of the budget only. So large responses end first, and others keep a quarter.

Tests: http1.TestEndlessResponsesLeaveRoomForOthers failed before (no memory is left).

--- a/policy.go
+++ b/policy.go
@@ -98,6 +98,9 @@
 type MemoryBudget interface {
 	// Take reserves the bytes, or returns false if the budget is exhausted.
 	Take(count int64) bool
+	// TakeLarge reserves bytes for data that is large already. It leaves a part of
+	// the budget to other data.
+	TakeLarge(count int64) bool
 	// Return releases bytes that were taken.
 	Return(count int64)
 }
--- a/state/buffer/buffer.go
+++ b/state/buffer/buffer.go
@@ -13,6 +13,10 @@
 // ErrNoMemory is returned if the memory budget is exhausted.
 var ErrNoMemory = errors.New("no memory is left")
 
+// largeBytes is the capacity from which a buffer counts as large. Large buffers can't use
+// up the budget, so that a few endless responses leave room for all others.
+const largeBytes = 64 << 10
+
 // Buffer is a growing byte buffer. The zero value is usable.
 type Buffer struct {
 	// Budget may be nil, which means no limit. It isn't changed after the first use.
@@ -34,7 +38,11 @@
 		needed = max(needed, min(2*int64(cap(b.Bytes)), limit))
 	}
 	if b.Budget != nil {
-		if !b.Budget.Take(needed - b.taken) {
+		take := b.Budget.Take
+		if needed > largeBytes {
+			take = b.Budget.TakeLarge
+		}
+		if !take(needed - b.taken) {
 			return ErrNoMemory
 		}
 		b.taken = needed
--- a/state/memorybudget/memorybudget.go
+++ b/state/memorybudget/memorybudget.go
@@ -8,6 +8,9 @@
 	"github.com/ebonyworks/ebonyworks"
 )
 
+// largeShare is the share of the limit that large data can use up.
+const largeShare = 0.75
+
 // Budget bounds the bytes that are reserved at a time. It is safe for concurrent use.
 // The zero value has no limit.
 type Budget struct {
@@ -21,11 +24,19 @@
 var _ ebonyworks.MemoryBudget = (*Budget)(nil)
 
 // Take reserves count bytes, or returns false if they would exceed the limit.
-func (b *Budget) Take(count int64) bool {
+func (b *Budget) Take(count int64) bool { return b.take(count, b.Limit) }
+
+// TakeLarge reserves count bytes for data that is large already, or returns false if they
+// would leave too little for other data.
+func (b *Budget) TakeLarge(count int64) bool {
+	return b.take(count, int64(largeShare*float64(b.Limit)))
+}
+
+func (b *Budget) take(count, limit int64) bool {
 	if b.Limit <= 0 {
 		return true
 	}
-	if b.used.Add(count) > b.Limit {
+	if b.used.Add(count) > limit {
 		b.used.Add(-count)
 		return false
 	}
--- a/transport/http1/head.go
+++ b/transport/http1/head.go
@@ -81,7 +81,7 @@
 	if c.budget == nil || c.headReserved {
 		return true
 	}
-	c.headReserved = c.budget.Take(2 * MaxHeadBytes)
+	c.headReserved = c.budget.TakeLarge(2 * MaxHeadBytes)
 	return c.headReserved
 }
 
