--- a/review/world/drain.go
+++ b/review/world/drain.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return notRun, err
 	}
-	f, err := startFront(w, folder, frontOptions{name: "front-1", zone: "heredia", ip: w.ip, cpuShare: "0.4"})
+	f, err := startFront(w, folder, frontOptions{name: "front-1", zone: "heredia", ip: hostIP(1), cpuShare: "0.4"})
 	if err != nil {
 		return notRun, err
 	}
--- a/review/world/frozen.go
+++ b/review/world/frozen.go
@@ -54,11 +54,11 @@
 		}
 	}
 	w.store.put("op/config", config)
-	large, err := startFront(w, folder, frontOptions{name: "front-large", zone: "heredia", ip: "127.0.0.2", cpuShare: "0.8"})
+	large, err := startFront(w, folder, frontOptions{name: "front-large", zone: "heredia", ip: hostIP(1), cpuShare: "0.8"})
 	if err != nil {
 		return notRun, err
 	}
-	small, err := startFront(w, folder, frontOptions{name: "front-small", zone: "heredia", ip: "127.0.0.3", cpuShare: "0.2", seeds: []string{large.control}})
+	small, err := startFront(w, folder, frontOptions{name: "front-small", zone: "heredia", ip: hostIP(2), cpuShare: "0.2", seeds: []string{large.control}})
 	if err != nil {
 		return notRun, err
 	}
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -47,6 +48,13 @@
 	fronts []*front
 }
 
+// hostIP returns a loopback address for a front of its own. Other addresses are used by other
+// runs at the same time, since the metrics have a fixed port.
+func hostIP(number int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number)
+}
+
 // stopFronts ends all fronts that were started.
 func (w *world) stopFronts() {
 	w.mutex.Lock()
@@ -72,6 +80,8 @@
 type frontOptions struct {
 	name, zone, ip, cpuShare string
 	seeds                    []string
+	// store is the address of the store; empty for that of the stand-in itself.
+	store string
 }
 
 // freePorts returns addresses of the ip that nobody listens at.
@@ -102,7 +112,7 @@
 		"Bounds.SeedStalenessS=3", "Bounds.AddrReuseS=2", "Bounds.ContactMs=4000", "Bounds.AckMs=5000", "Bounds.CatchUpS=4",
 		"Bounds.DrainMs=3000", "Bounds.GraceS=6", "Bounds.LossSlackMs=200", "Bounds.ConfigApplyMs=3000", "Bounds.RollbackSlackMs=250",
 		"Bounds.MaxSkewMs=12000", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10", "Bounds.RetrySlack=52", "Bounds.RecoveryS=12",
-		"platform.Address=" + w.store.address, "platform.form=read", "platform.WritesPerS=400", "platform.ReadsPerS=2000",
+		"platform.Address=" + cmp.Or(options.store, w.store.address), "platform.form=read", "platform.WritesPerS=400", "platform.ReadsPerS=2000",
 		"platform.HistoryS=20", "platform.ValueBytes=1048576", "platform.TtlMinMs=1000", "",
 	}, "\n")
 }
