--- a/review/world/main.go
+++ b/review/world/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world, folder string) (int, error){
 	"6": drainCase,
 	"7": frozenHostCase,
+	"9": calmHostCase,
 }
 
 func main() {
