--- a/review/world/drain.go
+++ b/review/world/drain.go
@@ -13,8 +13,8 @@
 	drainExtra = 2 * time.Second
 	// callers is the number of callers. Each sends its next request when it has the answer to
 	// the one before.
-	callers       = 40
-	callerTimeout = 10 * time.Second
+	callers       = 56
+	callerTimeout = 15 * time.Second
 	reserveWork   = 600 * time.Millisecond
 	// measurementError allows for the delay between an event and its record.
 	measurementError = 100 * time.Millisecond
@@ -26,7 +26,7 @@
 func drainCase(w *world, folder string) (int, error) {
 	w.store.put("op/config", configuration{
 		Version:  1,
-		Routes:   []route{{Name: "r-reserve", Host: host, Prefix: "/reserve/", RouteKind: "non_idempotent", TimeoutMs: 10000, TargetLatencyMs: 500, Service: "desk", MaxAttempts: 2}},
+		Routes:   []route{{Name: "r-reserve", Host: host, Prefix: "/reserve/", RouteKind: "non_idempotent", TimeoutMs: int(callerTimeout.Milliseconds()), TargetLatencyMs: 500, Service: "desk", MaxAttempts: 2}},
 		Services: []serviceConfig{{Name: "desk", HealthPath: "/health", MaxConns: 42, Protocol: "h1"}},
 		Limits:   defaultLimits,
 	})
