--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # use nothing but the standard library. Run it from anywhere, after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/world"
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review2-world .
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -buildvcs=false -o ../../target/review2-world .
