--- a/review/world/world.go
+++ b/review/world/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -46,6 +47,8 @@
 
 	mutex  sync.Mutex
 	fronts []*front
+	// ended is set once the case ends: no front is started any more.
+	ended bool
 }
 
 // hostIP returns a loopback address for a front of its own. Other addresses are used by other
@@ -55,10 +58,11 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number)
 }
 
-// stopFronts ends all fronts that were started.
+// stopFronts ends all fronts that were started. No other one is started afterwards.
 func (w *world) stopFronts() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.ended = true
 	for _, f := range w.fronts {
 		f.stop()
 	}
@@ -140,16 +144,9 @@
 	}
 	f.command.Env = []string{"EBONYWORKS_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	f.command.Stdout, f.command.Stderr = log, log
-	if err := f.command.Start(); err != nil {
+	if err := w.start(f); err != nil {
 		return nil, err
 	}
-	w.mutex.Lock()
-	w.fronts = append(w.fronts, f)
-	w.mutex.Unlock()
-	go func() {
-		_ = f.command.Wait()
-		close(f.ended)
-	}()
 	for range 100 {
 		time.Sleep(50 * time.Millisecond)
 		if f.isReady() {
@@ -160,6 +157,24 @@
 	return nil, fmt.Errorf("front %s doesn't become ready", name)
 }
 
+// start starts the process of a front, unless the case has ended.
+func (w *world) start(f *front) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.ended {
+		return errors.New("the case has ended")
+	}
+	if err := f.command.Start(); err != nil {
+		return err
+	}
+	w.fronts = append(w.fronts, f)
+	go func() {
+		_ = f.command.Wait()
+		close(f.ended)
+	}()
+	return nil
+}
+
 func (f *front) isReady() bool {
 	response, err := http.Get("http://" + f.ready + "/ebonyworks/ready")
 	if err != nil {
